Lay out the workspace, the tables and the frames

Cause: the project starts empty. Conclusion: tables merge by row version; frames are postcard behind a version byte; links are nng push and pull sockets, one listener for each process.

--- /dev/null
+++ b/bins/wisteria-agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Frames between the system's own processes: their types, codec and links.
+
+mod codec;
+mod frame;
+mod link;
+
+pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode};
+pub use frame::{
+    Cancel, Chunk, Class, Dispatch, End, Frame, Head, Message, Outcome, Ran, Reason, Refusal,
+    Report, RequestId, Resend, Sender,
+};
+pub use link::{Counters, Link, LinkError};
--- /dev/null
+++ b/components/wire/src/link.rs
@@ -0,0 +1,193 @@
+//! Links over nng: one socket that takes frames, one per peer that sends them.
+//!
+//! Each process listens on a `Pull0` socket and dials a `Push0` socket to every
+//! peer it talks to. A link that is cut dials again by itself. Sending never
+//! waits: what a slow peer does not take stays in a bounded outbox, and the
+//! oldest frames beyond it are dropped and counted, since every message is
+//! either repeated on request or answered by a timeout.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
+use nng::{Protocol, Socket};
+use tables::Name;
+
+use crate::codec;
+use crate::{Frame, Message, Sender};
+
+/// Most frames that wait for one peer.
+const OUTBOX_LIMIT: usize = 4096;
+/// Frames that nng itself holds for one peer.
+const SEND_BUFFER: i32 = 64;
+/// First wait before a cut link is dialled again.
+const RECONNECT_MIN: Duration = Duration::from_millis(50);
+/// Longest wait before a cut link is dialled again.
+const RECONNECT_MAX: Duration = Duration::from_millis(500);
+
+/// A link could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// The address can't be listened on or dialled.
+    #[error("link {address}: {source}")]
+    Open {
+        /// The address.
+        address: Name,
+        /// What nng says.
+        source: nng::Error,
+    },
+}
+
+/// What a link counts.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Frames that arrived.
+    pub received: AtomicU64,
+    /// Frames that were handed to nng.
+    pub sent: AtomicU64,
+    /// Frames dropped because they could not be decoded.
+    pub malformed: AtomicU64,
+    /// Frames dropped because a peer did not take them.
+    pub dropped: AtomicU64,
+}
+
+/// All links of one process.
+pub struct Link {
+    sender: Sender,
+    listener: Socket,
+    peers: HashMap<Name, Peer>,
+    counters: Arc<Counters>,
+}
+
+struct Peer {
+    socket: Socket,
+    pending: Vec<Message>,
+    outbox: VecDeque<nng::Message>,
+}
+
+impl Link {
+    /// Listens on the sender's link address. Each frame that arrives goes to
+    /// `deliver`, on a thread of its own.
+    pub fn open(
+        sender: Sender,
+        deliver: impl Fn(Frame) + Send + 'static,
+    ) -> Result<Link, LinkError> {
+        let listener = listen(&sender.link)
+            .map_err(|source| LinkError::Open { address: sender.link.clone(), source })?;
+        let counters = Arc::new(Counters::default());
+        let socket = listener.clone();
+        let shared = counters.clone();
+        std::thread::spawn(move || receive(&socket, &shared, deliver));
+        Ok(Link { sender, listener, peers: HashMap::new(), counters })
+    }
+
+    /// The counters of all links together.
+    pub fn counters(&self) -> Arc<Counters> {
+        self.counters.clone()
+    }
+
+    /// Puts a message into the next frame to the peer at `address`.
+    pub fn push(&mut self, address: &Name, message: Message) -> Result<(), LinkError> {
+        if !self.peers.contains_key(address) {
+            let socket = dial(address)
+                .map_err(|source| LinkError::Open { address: address.clone(), source })?;
+            let peer = Peer { socket, pending: Vec::new(), outbox: VecDeque::new() };
+            self.peers.insert(address.clone(), peer);
+        }
+        if let Some(peer) = self.peers.get_mut(address) {
+            peer.pending.push(message);
+        }
+        Ok(())
+    }
+
+    /// Sends what was pushed, one frame for each peer, and retries what a peer
+    /// has not taken so far.
+    pub fn flush(&mut self, revision: u64) {
+        for peer in self.peers.values_mut() {
+            if !peer.pending.is_empty() {
+                let messages = std::mem::take(&mut peer.pending);
+                let frame = Frame { sender: self.sender.clone(), revision, messages };
+                match codec::encode(&frame) {
+                    Ok(bytes) => peer.outbox.push_back(nng::Message::from(&bytes[..])),
+                    Err(_) => count(&self.counters.dropped),
+                }
+            }
+            peer.drain(&self.counters);
+        }
+    }
+
+    /// Closes the link to the peer at `address`.
+    pub fn forget(&mut self, address: &str) {
+        if let Some(peer) = self.peers.remove(address) {
+            peer.socket.close();
+        }
+    }
+
+    /// The number of frames that wait because peers have not taken them.
+    pub fn backlog(&self) -> usize {
+        self.peers.values().map(|peer| peer.outbox.len()).sum()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.listener.close();
+    }
+}
+
+impl Peer {
+    fn drain(&mut self, counters: &Counters) {
+        while let Some(message) = self.outbox.pop_front() {
+            match self.socket.try_send(message) {
+                Ok(()) => count(&counters.sent),
+                Err((message, _)) => {
+                    self.outbox.push_front(message);
+                    break;
+                }
+            }
+        }
+        while self.outbox.len() > OUTBOX_LIMIT {
+            self.outbox.pop_front();
+            count(&counters.dropped);
+        }
+    }
+}
+
+fn listen(address: &str) -> Result<Socket, nng::Error> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(codec::FRAME_LIMIT)?;
+    socket.listen(address)?;
+    Ok(socket)
+}
+
+fn dial(address: &str) -> Result<Socket, nng::Error> {
+    let socket = Socket::new(Protocol::Push0)?;
+    // Not every release of the C library has a send buffer for this protocol.
+    let _ = socket.set_opt::<SendBufferSize>(SEND_BUFFER);
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
+    socket.dial_async(address)?;
+    Ok(socket)
+}
+
+fn receive(socket: &Socket, counters: &Counters, deliver: impl Fn(Frame)) {
+    loop {
+        match socket.recv() {
+            Ok(message) => match codec::decode(&message) {
+                Ok(frame) => {
+                    count(&counters.received);
+                    deliver(frame);
+                }
+                Err(_) => count(&counters.malformed),
+            },
+            Err(nng::Error::Closed) => return,
+            Err(_) => count(&counters.malformed),
+        }
+    }
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the system tests.
