Add hosts to the tables and a crate for settings

Cause: routing and the platform client both need the host list's shape, and four programs need checked settings. Conclusion: tables::Host, and the crate settings.

--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings: read, checked as a whole, reported with places.
--- a/components/tables/src/lib.rs
+++ b/components/tables/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod check;
 mod error;
+pub mod host;
 mod row;
 mod table;
 
 pub use check::check;
 pub use error::{Error, Fault};
+pub use host::Host;
 pub use row::{Account, Body, Content, Key, Kind, Pool, PoolKind, Route, Row, Server, Zone};
 pub use table::{Delta, Table};
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -223,6 +223,8 @@
     pub attempt: u32,
     /// The chunk's number within the attempt, from 0.
     pub index: u32,
+    /// Number of whole server-sent events in the chunk; 0 for other bodies.
+    pub events: u32,
     /// The bytes.
     pub data: Bytes,
 }
