Add gossip of tables and the frames it needs

Cause: agents learn configuration from entries and peers, never from the platform. Conclusion: every frame carries a revision; who is behind pulls the rows since its own.

--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -57,6 +57,10 @@
     Pull(u64),
     /// Any process to any: rows that the receiver lacks.
     Delta(Delta),
+    /// Any process to any: send me your host list.
+    PullHosts,
+    /// Any process to any: the host list at a revision.
+    Hosts(u64, Vec<tables::Host>),
     /// Entry to agent, entry to entry: nothing but the frame's own fields.
     Heartbeat,
     /// Agent to agent: the business of a rank group.
@@ -100,6 +104,9 @@
     pub key: Option<Name>,
     /// Hash of method, path and body, to tell the same request sent again.
     pub fingerprint: u64,
+    /// Whether the request must run with no other beside it, since servers
+    /// crashed that ran it.
+    pub alone: bool,
     /// The HTTP method.
     pub method: Name,
     /// The HTTP path with its query.
@@ -176,6 +183,8 @@
     Unreachable,
     /// The backend server broke off its answer.
     Broken,
+    /// The backend server crashed while it ran the request.
+    Crashed,
     /// No backend server can take the request.
     NoServer,
     /// The account has more requests open than its share.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod frame;
+mod gossip;
 mod link;
 
 pub use codec::{Error, FRAME_LIMIT, VERSION, decode, encode};
@@ -9,4 +10,5 @@
     Cancel, Chunk, Class, Dispatch, End, Frame, Head, Message, Outcome, Ran, Reason, Refusal,
     Report, RequestId, Resend, Sender,
 };
+pub use gossip::Gossip;
 pub use link::{Counters, Link, LinkError};
