--- /dev/null
+++ b/components/admission/src/experiment.rs
@@ -0,0 +1,1 @@
+//! Small seeded experiments that measure limits and queues.
--- /dev/null
+++ b/components/routing/src/budget.rs
@@ -0,0 +1,55 @@
+//! The retry budget: retries are a bounded share of first attempts, so that
+//! they can't multiply an overload.
+
+use std::time::Duration;
+
+/// Most retries that can be saved up.
+pub const BURST: f64 = 20.0;
+
+/// A budget of retries.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    ratio: f64,
+    floor: f64,
+    saved: f64,
+    at: Duration,
+}
+
+impl Budget {
+    /// A budget of `ratio` retries per first attempt and `floor` retries per
+    /// second besides.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut budget = routing::budget::Budget::new(0.5, 0.0);
+    /// budget.earn(Duration::ZERO);
+    /// assert!(!budget.spend(Duration::ZERO));
+    /// budget.earn(Duration::ZERO);
+    /// assert!(budget.spend(Duration::ZERO));
+    /// ```
+    pub fn new(ratio: f64, floor: f64) -> Budget {
+        Budget { ratio, floor, saved: 0.0, at: Duration::ZERO }
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&mut self, now: Duration) {
+        self.refill(now);
+        self.saved = (self.saved + self.ratio).min(BURST);
+    }
+
+    /// Takes one retry out of the budget, or says that there is none left.
+    pub fn spend(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.saved = (self.saved + passed * self.floor).min(BURST);
+    }
+}
--- /dev/null
+++ b/components/routing/src/experiment.rs
@@ -0,0 +1,1 @@
+//! Small seeded experiments that measure the choice of backend servers.
--- /dev/null
+++ b/components/routing/src/prefix.rs
@@ -0,0 +1,150 @@
+//! Which backend server likely has which prompt prefix in its cache.
+//!
+//! A block's hash covers all bytes up to its end, so a known block vouches for
+//! every block before it, and gaps in what is learnt do little harm.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use tables::Name;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Size of a block of a request's body, in bytes.
+pub const BLOCK_SIZE: usize = 512;
+/// Most leading blocks of a body that are looked at.
+pub const BLOCK_LIMIT: usize = 64;
+/// Most holders of blocks that are remembered.
+pub const HOLDER_LIMIT: usize = 65_536;
+/// Time after which a block not seen again counts as evicted.
+pub const EXPIRY: Duration = Duration::from_secs(300);
+
+/// The prefixes believed to be cached, per backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Prefix {
+    holders: HashMap<u64, Vec<Holder>>,
+    order: VecDeque<(u64, Name, Duration)>,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    server: Name,
+    at: Duration,
+}
+
+impl Prefix {
+    /// The hashes of a body's leading blocks, each covering all before it.
+    ///
+    /// ```
+    /// let blocks = routing::prefix::Prefix::blocks(&[7; 1200]);
+    /// assert_eq!(blocks.len(), 2);
+    /// ```
+    pub fn blocks(body: &[u8]) -> Vec<u64> {
+        let chunks = body.chunks_exact(BLOCK_SIZE).take(BLOCK_LIMIT);
+        chunks
+            .scan(0, |seed, chunk| {
+                *seed = xxh3_64_with_seed(chunk, *seed);
+                Some(*seed)
+            })
+            .collect()
+    }
+
+    /// The share of the blocks, 0 to 1, believed to be cached by a server.
+    pub fn hit(&self, now: Duration, server: &str, blocks: &[u64]) -> f64 {
+        let known = blocks.iter().rposition(|block| self.is_held(now, server, *block));
+        known.map_or(0.0, |i| (i + 1) as f64 / blocks.len() as f64)
+    }
+
+    /// The shares of all servers that hold any of the blocks, in one pass.
+    pub fn shares(&self, now: Duration, blocks: &[u64]) -> HashMap<Name, f64> {
+        let mut shares = HashMap::new();
+        for (i, block) in blocks.iter().enumerate() {
+            let share = (i + 1) as f64 / blocks.len() as f64;
+            for holder in self.holders.get(block).into_iter().flatten() {
+                if holder.is_live(now) {
+                    shares.insert(holder.server.clone(), share);
+                }
+            }
+        }
+        shares
+    }
+
+    /// Notes that a server has, or soon will have, the blocks in its cache.
+    pub fn note(&mut self, now: Duration, server: &Name, blocks: &[u64]) {
+        for block in blocks {
+            let holders = self.holders.entry(*block).or_default();
+            match holders.iter_mut().find(|holder| holder.server == *server) {
+                Some(holder) => holder.at = now,
+                None => {
+                    holders.push(Holder { server: server.clone(), at: now });
+                    self.order.push_back((*block, server.clone(), now));
+                }
+            }
+        }
+        self.shrink(now);
+    }
+
+    /// Forgets all that a server held, after it restarted.
+    pub fn forget(&mut self, server: &str) {
+        self.order.retain(|(_, held, _)| held != server);
+        self.holders.retain(|_, holders| {
+            holders.retain(|holder| holder.server != server);
+            !holders.is_empty()
+        });
+    }
+
+    /// The number of holders remembered.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    fn is_held(&self, now: Duration, server: &str, block: u64) -> bool {
+        let holders = self.holders.get(&block).into_iter().flatten();
+        holders.filter(|holder| holder.server == server).any(|holder| holder.is_live(now))
+    }
+
+    /// Drops expired holders and, beyond the limit, those longest unseen: one
+    /// that was seen again since it was queued gets a second turn.
+    fn shrink(&mut self, now: Duration) {
+        while let Some((block, server, queued)) = self.order.pop_front() {
+            let Some(seen) = self.seen(block, &server) else {
+                continue;
+            };
+            let over = self.order.len() >= HOLDER_LIMIT;
+            if seen > queued {
+                self.order.push_back((block, server, seen));
+                continue;
+            }
+            if !over && now.saturating_sub(queued) < EXPIRY {
+                self.order.push_front((block, server, queued));
+                return;
+            }
+            self.remove(block, &server);
+        }
+    }
+
+    fn seen(&self, block: u64, server: &str) -> Option<Duration> {
+        let holders = self.holders.get(&block)?;
+        holders.iter().find(|holder| holder.server == server).map(|holder| holder.at)
+    }
+
+    fn remove(&mut self, block: u64, server: &str) {
+        let Some(holders) = self.holders.get_mut(&block) else {
+            return;
+        };
+        holders.retain(|holder| holder.server != server);
+        if holders.is_empty() {
+            self.holders.remove(&block);
+        }
+    }
+}
+
+impl Holder {
+    fn is_live(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) < EXPIRY
+    }
+}
--- /dev/null
+++ b/components/routing/src/subset.rs
@@ -0,0 +1,29 @@
+//! Which backend servers an entry knows: a stable subset of a pool's members.
+//!
+//! Highest random weight ("rendezvous") hashing, after Thaler and Ravishankar,
+//! "Using name-based mappings to increase hit rates" (1998): a member that
+//! joins or leaves changes at most one place of any subset.
+
+use tables::Name;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Picks `size` of the members for the entry named `seed`, in order of weight.
+///
+/// ```
+/// let members: Vec<tables::Name> = (0..9).map(|i| format!("s{i}").into()).collect();
+/// let subset = routing::subset::pick("e1", &members, 3);
+/// assert_eq!(subset.len(), 3);
+/// assert_eq!(subset, routing::subset::pick("e1", &members, 3));
+/// ```
+pub fn pick(seed: &str, members: &[Name], size: usize) -> Vec<Name> {
+    let seed = xxh3_64_with_seed(seed.as_bytes(), 0);
+    let mut weighed: Vec<(u64, &Name)> =
+        members.iter().map(|member| (xxh3_64_with_seed(member.as_bytes(), seed), member)).collect();
+    let size = size.min(weighed.len());
+    if size < weighed.len() {
+        weighed.select_nth_unstable_by(size, |a, b| b.cmp(a));
+        weighed.truncate(size);
+    }
+    weighed.sort_unstable_by(|a, b| b.cmp(a));
+    weighed.into_iter().map(|(_, member)| member.clone()).collect()
+}
