--- /dev/null
+++ b/components/settings/tests/faults.rs
@@ -0,0 +1,149 @@
+//! All faults of a settings file, each at its place.
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use miette::Diagnostic;
+use rstest::rstest;
+use serde::Deserialize;
+use settings::{Check, Error, Fault, Reason, parse};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Settings {
+    listen: SocketAddr,
+    rate: f64,
+    mode: Mode,
+    pools: Vec<Pool>,
+    #[allow(dead_code)]
+    burst: Option<u16>,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Mode {
+    Warm,
+    Cold,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Pool {
+    name: String,
+    size: u16,
+}
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let rate = Fault::outside("/rate", self.rate, 0.0..=1.0);
+        let nameless = |(index, pool): (usize, &Pool)| {
+            let empty = pool.name.is_empty() || pool.size == 0;
+            empty.then(|| Fault::new(format!("/pools/{index}/name"), Reason::Empty))
+        };
+        rate.into_iter().chain(self.pools.iter().enumerate().filter_map(nameless)).collect()
+    }
+}
+
+const GOOD: &str = r#"{
+  "listen": "127.0.0.1:80",
+  "rate": 0.5,
+  "mode": "warm",
+  "pools": [{"name": "fit", "size": 3}]
+}"#;
+
+/// Each fault's pointer with the text that its label covers.
+fn marks(text: &str) -> Vec<(String, String)> {
+    let error = parse::<Settings>("a.json", text).unwrap_err();
+    let labels: Vec<_> = error.labels().unwrap().collect();
+    assert_eq!(labels.len(), error.faults().len());
+    let pairs = error.faults().iter().zip(labels);
+    let marked = |offset: usize, length: usize| text[offset..offset + length].to_owned();
+    pairs
+        .map(|(fault, label)| (fault.pointer.clone(), marked(label.offset(), label.len())))
+        .collect()
+}
+
+#[test]
+fn parse_good_settings() {
+    let settings = parse::<Settings>("a.json", GOOD).unwrap();
+    assert_eq!(settings.listen.port(), 80);
+    assert_eq!(settings.mode, Mode::Warm);
+    assert_eq!(settings.pools[0].size, 3);
+}
+
+#[test]
+fn parse_all_faults_at_once() {
+    let text = r#"{
+  "listen": 7,
+  "rat": 1,
+  "rate": 2.5,
+  "mode": "tepid",
+  "burst": 70000,
+  "pools": [
+    {"name": "", "size": 1},
+    {"nam": "b", "size": "x"},
+    {"size": {"deep": [1]}},
+    []
+  ]
+}"#;
+    let found = marks(text);
+    let found: Vec<_> = found.iter().map(|(at, mark)| (at.as_str(), mark.as_str())).collect();
+    let expected = [
+        ("/listen", "7"),
+        ("/rat", "\"rat\""),
+        ("/rate", "2.5"),
+        ("/mode", "\"tepid\""),
+        ("/burst", "70000"),
+        ("/pools/0/name", "\"\""),
+        ("/pools/1/name", "{"),
+        ("/pools/1/nam", "\"nam\""),
+        ("/pools/1/size", "\"x\""),
+        ("/pools/2/name", "{"),
+        ("/pools/2/size", "{\"deep\": [1]}"),
+        ("/pools/3", "[]"),
+    ];
+    assert_eq!(found, expected);
+}
+
+#[rstest]
+#[case::wrong_root("7", &[("", "7")])]
+#[case::null_enumeration(
+    r#"{"mode":null,"listen":"127.0.0.1:80","rate":1,"pools":[]}"#,
+    &[("/mode", "null")]
+)]
+#[case::empty_object("{}", &[("/listen", "{"), ("/rate", "{"), ("/mode", "{"), ("/pools", "{")])]
+#[case::repeated_field(
+    r#"{"rate":1,"rate":0.2,"listen":"127.0.0.1:80","mode":"cold","pools":[]}"#,
+    &[("/rate", "\"rate\"")]
+)]
+fn parse_faulty(#[case] text: &str, #[case] expected: &[(&str, &str)]) {
+    let mut found = marks(text);
+    let mut expected: Vec<_> =
+        expected.iter().map(|(at, mark)| ((*at).to_owned(), (*mark).to_owned())).collect();
+    found.sort();
+    expected.sort();
+    assert_eq!(found, expected);
+}
+
+/// A stand-in for a wrong value must not give rise to faults of its own.
+#[test]
+fn parse_no_fault_on_stand_in() {
+    let text =
+        r#"{"listen":"127.0.0.1:80","rate":0.1,"mode":"cold","pools":[{"name":3,"size":1}]}"#;
+    assert_eq!(marks(text), [("/pools/0/name".to_owned(), "3".to_owned())]);
+}
+
+#[test]
+fn parse_bad_syntax() {
+    let text = "{\n  \"rate\": ?\n}";
+    let error = parse::<Settings>("a.json", text).unwrap_err();
+    assert!(matches!(error, Error::Syntax { .. }));
+    let label = error.labels().unwrap().next().unwrap();
+    assert_eq!(&text[label.offset()..label.offset() + label.len()], "?");
+}
+
+#[test]
+fn load_absent_file() {
+    let error = settings::load::<Settings>("no/such/file.json".as_ref()).unwrap_err();
+    assert!(matches!(error, Error::Read { .. }));
+}
