Add the platform client and its watch

The object API is called through awc; each failure of a call is a type that says whether the write can have had an effect. Ruled out: sending a write again from the client, because its first sending may have arrived.

--- /dev/null
+++ b/components/platform/src/client.rs
@@ -0,0 +1,229 @@
+//! Single calls to the platform over HTTP.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::Method;
+use awc::http::header::{CONTENT_TYPE, HeaderValue, IF_MATCH, RETRY_AFTER};
+use serde_json::Value;
+use tables::{Host, Name};
+
+use crate::{Changes, Error, Expect, Hosts, Listing, Object, Reply, VALUE_LIMIT};
+
+/// Largest body of a reply, in bytes.
+const BODY_LIMIT: usize = 64 << 20;
+/// Idle time after which a connection isn't used again. Shorter than that of
+/// usual servers, so that a call doesn't meet a connection about to close.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
+/// A client of the platform's service. Cheap to clone; stays on its thread.
+///
+/// Calls go to the URL that last answered. The next one is tried when a call
+/// did not reach the platform; a write that may have arrived is never sent
+/// again by the client itself.
+///
+/// ```
+/// let client = platform::Client::new(vec!["http://127.0.0.1:1".into()], std::time::Duration::from_millis(200));
+/// let result = actix_rt::System::new().block_on(client.get("pool", "benches"));
+/// assert_eq!(result, Err(platform::Error::Unreachable));
+/// ```
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    urls: Rc<[Name]>,
+    current: Rc<Cell<usize>>,
+    timeout: Duration,
+}
+
+struct Call {
+    method: Method,
+    path: String,
+    expect: Option<Expect>,
+    body: Option<String>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client that waits at most `timeout` for the reply of each call.
+    pub fn new(urls: Vec<Name>, timeout: Duration) -> Client {
+        // A call that isn't connected in half its time was never sent.
+        let connector =
+            awc::Connector::new().timeout(timeout / 2).conn_keep_alive(KEEP_ALIVE).limit(0);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Client { http, urls: urls.into(), current: Rc::default(), timeout }
+    }
+
+    /// Reads an object.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, Error> {
+        self.read(object_path(kind, name), self.timeout).await?.object()
+    }
+
+    /// Reads all objects of a kind, page by page.
+    ///
+    /// Objects that change meanwhile may show either state; a watch since the
+    /// listing's revision brings the rest.
+    pub async fn list(&self, kind: &str) -> Result<Listing, Error> {
+        let mut listing: Listing = self.read(kind_path(kind), self.timeout).await?.read()?;
+        while listing.more {
+            let Some(last) = listing.objects.last() else { break };
+            let path = format!("{}?after={}", kind_path(kind), encode(&last.name));
+            let page: Listing = self.read(path, self.timeout).await?.read()?;
+            listing.more = page.more && !page.objects.is_empty();
+            listing.objects.extend(page.objects);
+        }
+        Ok(listing)
+    }
+
+    /// Writes an object if it is as expected. Returns its new version.
+    pub async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        value: &Value,
+    ) -> Result<u64, Error> {
+        let body = value.to_string();
+        if body.len() > VALUE_LIMIT {
+            return Err(Error::TooLarge { size: body.len() });
+        }
+        self.write(Method::PUT, object_path(kind, name), Some(expect), Some(body)).await
+    }
+
+    /// Deletes an object if it is as expected. Returns the deletion's version.
+    pub async fn delete(&self, kind: &str, name: &str, expect: Expect) -> Result<u64, Error> {
+        self.write(Method::DELETE, object_path(kind, name), Some(expect), None).await
+    }
+
+    /// Waits up to `wait` for changes of `kinds` after the revision `since`.
+    pub async fn watch(
+        &self,
+        kinds: &[&str],
+        since: u64,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let kinds: Vec<String> = kinds.iter().map(|kind| encode(kind)).collect();
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/watch?kinds={}&since={since}&wait_ms={wait_ms}", kinds.join(","));
+        self.read(path, wait + self.timeout).await?.read()
+    }
+
+    /// Waits up to `wait` for a host list after the revision `since`.
+    pub async fn hosts(&self, since: u64, wait: Duration) -> Result<Hosts, Error> {
+        let path = format!("/v1/hosts?since={since}&wait_ms={}", wait.as_millis());
+        self.read(path, wait + self.timeout).await?.read()
+    }
+
+    /// Enters a host into the host list, or changes it.
+    pub async fn put_host(&self, host: &Host) -> Result<u64, Error> {
+        let body = serde_json::to_string(host).map_err(|_| Error::Malformed { status: 0 })?;
+        let path = format!("/v1/hosts/{}", encode(&host.name));
+        self.write(Method::PUT, path, None, Some(body)).await
+    }
+
+    /// Removes a host from the host list.
+    pub async fn delete_host(&self, name: &str) -> Result<u64, Error> {
+        self.write(Method::DELETE, format!("/v1/hosts/{}", encode(name)), None, None).await
+    }
+
+    async fn read(&self, path: String, timeout: Duration) -> Result<Reply, Error> {
+        let call = Call { method: Method::GET, path, expect: None, body: None, timeout };
+        // A read may be sent again, so an unknown effect is no matter here.
+        self.send(&call).await.map_err(|_| Error::Unreachable)
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: String,
+        expect: Option<Expect>,
+        body: Option<String>,
+    ) -> Result<u64, Error> {
+        let call = Call { method, path, expect, body, timeout: self.timeout };
+        self.send(&call).await?.written()
+    }
+
+    /// Sends the call to one URL after the other until one may have taken it.
+    async fn send(&self, call: &Call) -> Result<Reply, Error> {
+        for _ in 0..self.urls.len() {
+            let index = self.current.get() % self.urls.len();
+            let result = self.send_to(&self.urls[index], call).await;
+            if result.is_ok() {
+                return result;
+            }
+            self.current.set(index + 1);
+            let again = call.method == Method::GET || result == Err(Error::Unreachable);
+            if !again {
+                return result;
+            }
+        }
+        Err(Error::Unreachable)
+    }
+
+    async fn send_to(&self, url: &str, call: &Call) -> Result<Reply, Error> {
+        let exchange = self.exchange(url, call);
+        actix_rt::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Unknown))
+    }
+
+    async fn exchange(&self, url: &str, call: &Call) -> Result<Reply, Error> {
+        let url = format!("{}{}", url.trim_end_matches('/'), call.path);
+        let mut request = self.http.request(call.method.clone(), url);
+        if let Some(expect) = call.expect {
+            request = request.insert_header((IF_MATCH, expect.as_header()));
+        }
+        let sent = match &call.body {
+            Some(body) => {
+                request.insert_header((CONTENT_TYPE, "application/json")).send_body(body.clone())
+            }
+            None => request.send(),
+        };
+        let response = sent.await.map_err(|error| unsent(&error))?;
+        let mut response = response.timeout(call.timeout);
+        let retry_after = response.headers().get(RETRY_AFTER).and_then(seconds);
+        let status = response.status().as_u16();
+        let body = response.body().limit(BODY_LIMIT).await;
+        let body = body.map_err(|_| Error::Unknown)?;
+        Ok(Reply { status, retry_after, body })
+    }
+}
+
+fn seconds(value: &HeaderValue) -> Option<Duration> {
+    let seconds = value.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// Tells a call that was never sent from one that may have arrived.
+fn unsent(error: &SendRequestError) -> Error {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => Error::Unreachable,
+        _ => Error::Unknown,
+    }
+}
+
+fn kind_path(kind: &str) -> String {
+    format!("/v1/objects/{}", encode(kind))
+}
+
+fn object_path(kind: &str, name: &str) -> String {
+    format!("{}/{}", kind_path(kind), encode(name))
+}
+
+/// Percent-encodes a name for use in a path or a query.
+fn encode(name: &str) -> String {
+    let mut text = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
+            text.push(char::from(byte));
+        } else {
+            // Writing to a string can't fail.
+            let _ = write!(text, "%{byte:02X}");
+        }
+    }
+    text
+}
