Add the entry's router: match, choose, dispatch, collect, retry

Cause: the whole path needs one place that turns a caller's request into attempts and the attempts' messages into one whole answer. Conclusion: a state machine of filters with the time as an argument; what belongs to another attempt is dropped; what is lost with its agent is tried elsewhere under the same claim.

--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,10 +1,19 @@
-//! Placeholder.
+//! Decisions of an entry: from a caller's request to its whole answer.
 
 pub mod baseline;
 pub mod budget;
 pub mod choice;
 pub mod experiment;
 pub mod hedge;
+pub mod matching;
+pub mod members;
 pub mod prefix;
+pub mod problem;
 pub mod report;
+pub mod request;
+pub mod router;
 pub mod subset;
+pub mod trace;
+
+pub use request::Ask;
+pub use router::{Input, Options, Output, Part, Router, class};
--- /dev/null
+++ b/components/routing/src/router/ask.rs
@@ -0,0 +1,142 @@
+//! A caller's request: account, route, and the first attempt.
+
+use std::time::Duration;
+
+use wire::{Cancel, Class, Dispatch, Message, Ran, Reason, RequestId};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use super::{Output, Part, Router};
+use crate::prefix::Prefix;
+use crate::problem::{Code, Problem};
+use crate::request::{Ask, Request};
+use crate::trace::Note;
+
+/// Most requests that an entry has open.
+const OPEN_LIMIT: usize = 8192;
+/// Bytes of a body for one prompt token, roughly.
+const BYTES_PER_TOKEN: usize = 4;
+/// Most tokens that an entry expects of a prompt.
+const PROMPT_LIMIT: usize = 1 << 20;
+
+impl Router {
+    pub(super) fn ask(&mut self, now: Duration, ask: Ask, outputs: &mut Vec<Output>) {
+        self.counters.asked += 1;
+        let id = ask.id;
+        match self.accept(now, ask) {
+            Ok(request) => {
+                self.requests.insert(id, request);
+                self.budget.earn(now);
+                self.dispatch(now, id, outputs);
+            }
+            Err(code) => {
+                self.counters.problems += 1;
+                let problem = Part::Problem(Problem::early(code));
+                outputs.push(Output::Answer(id, problem));
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Duration, ask: Ask) -> Result<Request, Code> {
+        if self.leaving {
+            return Err(Code::Leaving);
+        }
+        if self.requests.len() >= OPEN_LIMIT {
+            return Err(Code::Overloaded);
+        }
+        let bearer = ask.bearer.as_deref().ok_or(Code::Unauthorized)?;
+        let (account, row) = self.index.account(bearer).ok_or(Code::Unauthorized)?.clone();
+        let (name, route) =
+            self.index.route(&ask.path, ask.model.as_deref()).ok_or(Code::NoRoute)?.clone();
+        let matched = Note::Matched {
+            account: account.clone(),
+            route: name.clone(),
+            pools: route.pools.clone(),
+        };
+        self.trace.note(now, ask.id, matched);
+        let timeout = ask.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let prompt = (ask.body.len() / BYTES_PER_TOKEN).min(PROMPT_LIMIT) as u32;
+        let blocks = if ask.model.is_some() { Prefix::blocks(&ask.body) } else { Vec::new() };
+        Ok(Request {
+            dispatch: Dispatch {
+                id: ask.id,
+                attempt: 0,
+                incarnation: 0,
+                pool: route.pools.first().cloned().unwrap_or_default(),
+                account,
+                weight: row.weight,
+                class: ask.class,
+                remaining: timeout,
+                idempotent: route.idempotent || is_safe(&ask.method),
+                fingerprint: fingerprint(&ask),
+                key: ask.key,
+                alone: false,
+                method: ask.method,
+                path: ask.path,
+                headers: ask.headers,
+                body: ask.body,
+                resume: 0,
+            },
+            route: name,
+            pools: route.pools,
+            prompt,
+            blocks,
+            arrived: now,
+            deadline: now + timeout,
+            attempt: None,
+            avoid: Vec::new(),
+            ran: Ran::NotRun,
+            reason: Reason::NoServer,
+            retry_after: None,
+            crashes: 0,
+            attempts: 0,
+            head_sent: false,
+            stream: false,
+            events: 0,
+            first: None,
+            body: Vec::new(),
+        })
+    }
+
+    /// Ends a request whose caller hung up. Work that must not run twice goes
+    /// on at the agent, which records its answer.
+    pub(super) fn hung_up(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.counters.hung_up += 1;
+        self.trace.note(now, id, Note::HungUp);
+        self.stop(now, &request, outputs);
+    }
+
+    /// Tells the agent of the attempt under way, if any, to stop.
+    pub(super) fn stop(&mut self, now: Duration, request: &Request, outputs: &mut Vec<Output>) {
+        let Some(attempt) = &request.attempt else { return };
+        let tokens = request.prompt;
+        self.members.book.ended(now, &attempt.server, tokens);
+        let cancel = Cancel { id: request.dispatch.id, attempt: request.dispatch.attempt };
+        outputs.push(Output::Send(attempt.link.clone(), Message::Cancel(cancel)));
+    }
+}
+
+/// Methods that change nothing, by RFC 9110.
+fn is_safe(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "OPTIONS")
+}
+
+/// Hash of what makes two requests the same.
+fn fingerprint(ask: &Ask) -> u64 {
+    let mut hash = Xxh3Default::new();
+    for part in [ask.method.as_bytes(), ask.path.as_bytes(), &ask.body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+/// The class that a header names; somebody waits unless it says otherwise.
+///
+/// ```
+/// assert_eq!(routing::class(Some("batch")), wire::Class::Batch);
+/// assert_eq!(routing::class(None), wire::Class::Interactive);
+/// ```
+pub fn class(header: Option<&str>) -> Class {
+    if header == Some("batch") { Class::Batch } else { Class::Interactive }
+}
--- /dev/null
+++ b/components/routing/src/router/choose.rs
@@ -0,0 +1,124 @@
+//! Which backend server takes the next attempt.
+
+use std::time::Duration;
+
+use tables::Name;
+use wire::{Message, Reason, RequestId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Output, Router};
+use crate::choice::{self, Candidate};
+use crate::members::Member;
+use crate::request::{Attempt, Request};
+use crate::trace::Note;
+
+/// A backend server that was chosen.
+struct Choice {
+    pool: Name,
+    server: Name,
+    link: Name,
+    incarnation: u64,
+    candidates: usize,
+}
+
+impl Router {
+    /// Sends the next attempt of a request, or gives the request up.
+    pub(super) fn dispatch(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(choice) = self.pick(now, request) else {
+            self.give_up(now, id, outputs);
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.attempts += 1;
+        let dispatch = &mut request.dispatch;
+        dispatch.attempt = request.attempts;
+        dispatch.incarnation = choice.incarnation;
+        dispatch.pool = choice.pool;
+        dispatch.remaining = request.deadline.saturating_sub(now);
+        dispatch.resume = request.events;
+        request.attempt = Some(Attempt {
+            server: choice.server.clone(),
+            link: choice.link.clone(),
+            incarnation: choice.incarnation,
+            started: now,
+            heard: now,
+            asked: now,
+            probes: 0,
+            head: None,
+            next: 0,
+            early: Default::default(),
+            end: None,
+        });
+        self.members.book.started(now, &choice.server, request.prompt);
+        self.prefix.note(now, &choice.server, &request.blocks);
+        let note = Note::Sent {
+            attempt: dispatch.attempt,
+            server: choice.server,
+            candidates: choice.candidates,
+            resume: dispatch.resume,
+        };
+        self.trace.note(now, id, note);
+        outputs.push(Output::Send(choice.link, Message::Dispatch(dispatch.clone())));
+    }
+
+    /// The first pool, in the route's order, with a backend server to take it.
+    fn pick(&self, now: Duration, request: &Request) -> Option<Choice> {
+        for pool in &request.pools {
+            let table = self.gossip.table();
+            let mut members = self.members.eligible(now, table, pool);
+            members.retain(|member| !request.avoid.contains(&member.host.name));
+            let count = members.len();
+            let chosen = match &request.dispatch.key {
+                _ if request.dispatch.idempotent => self.best(now, request, &members),
+                Some(key) => home(key, &members),
+                None => self.best(now, request, &members),
+            };
+            let Some(position) = chosen else { continue };
+            let member = members[position];
+            return Some(Choice {
+                pool: pool.clone(),
+                server: member.host.name.clone(),
+                link: member.host.link.clone(),
+                incarnation: member.incarnation,
+                candidates: count,
+            });
+        }
+        None
+    }
+
+    fn best(&self, now: Duration, request: &Request, members: &[&Member]) -> Option<usize> {
+        let candidate = |member: &&Member| Candidate {
+            server: member.host.name.clone(),
+            same_zone: member.host.zone == self.options.zone,
+            spare: true,
+            view: self.members.view(now, &member.host.name),
+            in_flight: self.members.book.in_flight(&member.host.name),
+            cached: self.prefix.hit(now, &member.host.name, &request.blocks),
+        };
+        let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
+        // The rng is cloned, since members borrow the router; its stream goes
+        // on from the request's own attempt, so that choices stay independent.
+        let mut rng = self.rng.clone();
+        let stream = request.dispatch.id.as_u64_pair().1 ^ u64::from(request.attempts);
+        rng.set_stream(stream);
+        choice::choose(&mut rng, &candidates, request.prompt)
+    }
+
+    /// Gives a request up that no backend server can take.
+    fn give_up(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let reason = if request.attempts == 0 { Reason::NoServer } else { request.reason };
+        self.finish(now, id, reason, outputs);
+    }
+}
+
+/// The backend server that keeps a key's claims at hand, by rendezvous hashing:
+/// all entries send the same key there while it is in service.
+fn home(key: &Name, members: &[&Member]) -> Option<usize> {
+    let weight = |position: &usize| {
+        let name = &members[*position].host.name;
+        xxh3_64(format!("{key}\0{name}").as_bytes())
+    };
+    (0..members.len()).max_by_key(weight)
+}
--- /dev/null
+++ b/components/routing/src/router/collect.rs
@@ -0,0 +1,176 @@
+//! Puts the answer together: heads, chunks in order, and the end.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::{Cancel, Chunk, End, Head, Message, Outcome, Ran, Reason, RequestId, Sender};
+
+use super::{Output, Part, Router};
+use crate::problem::Problem;
+use crate::request::Request;
+use crate::trace::Note;
+
+/// Largest answer that is kept until it is whole, in bytes.
+const BODY_LIMIT: usize = 8 << 20;
+/// Content type of streamed answers.
+const EVENT_STREAM: &str = "text/event-stream";
+
+impl Router {
+    pub(super) fn head(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        head: Head,
+        outputs: &mut Vec<Output>,
+    ) {
+        let id = head.id;
+        let Some(request) = self.current(now, sender, id, head.attempt, outputs) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        if attempt.head.is_some() {
+            return;
+        }
+        request.stream |= is_stream(&head);
+        attempt.head = Some(head.clone());
+        if request.stream && !request.head_sent {
+            request.head_sent = true;
+            let part = Part::Head { status: head.status, headers: head.headers };
+            outputs.push(Output::Answer(id, part));
+        }
+        self.advance(now, id, outputs);
+    }
+
+    pub(super) fn chunk(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        chunk: Chunk,
+        outputs: &mut Vec<Output>,
+    ) {
+        let id = chunk.id;
+        let Some(request) = self.current(now, sender, id, chunk.attempt, outputs) else { return };
+        if let Some(attempt) = &mut request.attempt {
+            attempt.accept(chunk);
+        }
+        self.advance(now, id, outputs);
+    }
+
+    pub(super) fn end(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        end: End,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.current(now, sender, end.id, end.attempt, outputs) else { return };
+        if let Some(attempt) = &mut request.attempt {
+            attempt.end = Some(end);
+        }
+        self.advance(now, end.id, outputs);
+    }
+
+    /// The request whose attempt under way a message belongs to. What belongs
+    /// to another attempt is never mixed in; its agent is told to forget it.
+    fn current(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        id: RequestId,
+        number: u32,
+        outputs: &mut Vec<Output>,
+    ) -> Option<&mut Request> {
+        let fits = |request: &&mut Request| {
+            let attempt = request.attempt.as_ref();
+            request.dispatch.attempt == number
+                && attempt.is_some_and(|attempt| attempt.server == sender.name)
+        };
+        let found = self.requests.get_mut(&id).filter(fits);
+        match found {
+            Some(request) => {
+                if let Some(attempt) = &mut request.attempt {
+                    attempt.heard = now;
+                    attempt.probes = 0;
+                }
+                Some(request)
+            }
+            None => {
+                self.counters.stale += 1;
+                let ack = Message::Ack(Cancel { id, attempt: number });
+                outputs.push(Output::Send(sender.link.clone(), ack));
+                None
+            }
+        }
+    }
+
+    /// Passes on what is in order, and ends the answer once it is whole.
+    fn advance(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        let ready = attempt.ready();
+        let outcome = attempt.outcome();
+        if !ready.is_empty() {
+            request.first.get_or_insert(now);
+        }
+        for chunk in ready {
+            request.events += chunk.events;
+            if request.stream {
+                outputs.push(Output::Answer(id, Part::Data(chunk.data)));
+            } else {
+                request.body.extend_from_slice(&chunk.data);
+            }
+        }
+        if request.body.len() > BODY_LIMIT {
+            self.too_large(now, id, outputs);
+            return;
+        }
+        match outcome {
+            Some(Outcome::Complete) => self.complete(now, id, outputs),
+            Some(Outcome::Broken) => {
+                self.acknowledge(id, outputs);
+                self.failed(now, id, Reason::Broken, Ran::MayHaveRun, None, outputs);
+            }
+            None => {}
+        }
+    }
+
+    fn complete(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        self.acknowledge(id, outputs);
+        let Some(mut request) = self.requests.remove(&id) else { return };
+        let Some(attempt) = request.attempt.take() else { return };
+        self.members.book.ended(now, &attempt.server, request.prompt);
+        self.counters.answered += 1;
+        let (status, headers) = match attempt.head {
+            Some(head) => (head.status, head.headers),
+            None => (200, Vec::new()),
+        };
+        self.trace.note(now, id, Note::Answered { status });
+        if !request.stream {
+            outputs.push(Output::Answer(id, Part::Head { status, headers }));
+            outputs.push(Output::Answer(id, Part::Data(Bytes::from(request.body))));
+        }
+        outputs.push(Output::Answer(id, Part::End));
+    }
+
+    /// Tells the agent of the attempt under way that it may forget it.
+    fn acknowledge(&self, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(attempt) = &request.attempt else { return };
+        let ack = Message::Ack(request.current());
+        outputs.push(Output::Send(attempt.link.clone(), ack));
+    }
+
+    fn too_large(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.stop(now, &request, outputs);
+        self.counters.problems += 1;
+        let (reason, ran) = (Reason::TooLarge, Ran::Ran);
+        self.trace.note(now, id, Note::GivenUp { reason, ran });
+        let problem = Problem::refused(reason, ran, None);
+        outputs.push(Output::Answer(id, Part::Problem(problem)));
+    }
+}
+
+fn is_stream(head: &Head) -> bool {
+    head.headers.iter().any(|(name, value)| {
+        name.eq_ignore_ascii_case("content-type") && value.starts_with(EVENT_STREAM)
+    })
+}
--- /dev/null
+++ b/components/routing/src/router/fail.rs
@@ -0,0 +1,189 @@
+//! What follows an attempt that came to nothing: another one, or the end.
+
+use std::time::Duration;
+
+use wire::{Ran, Reason, Refusal, RequestId, Sender};
+
+use super::{Output, Part, Router, is_final};
+use crate::problem::{Code, Problem};
+use crate::request::Request;
+use crate::trace::Note;
+
+/// Most attempts of one request.
+const ATTEMPT_LIMIT: u32 = 4;
+/// Most attempts of one request that crash their backend server.
+const CRASH_LIMIT: u32 = 2;
+
+impl Router {
+    pub(super) fn refusal(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        refusal: Refusal,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get(&refusal.id) else {
+            self.counters.stale += 1;
+            return;
+        };
+        let Some(attempt) = &request.attempt else { return };
+        let fits = request.dispatch.attempt == refusal.attempt && attempt.server == sender.name;
+        if !fits {
+            self.counters.stale += 1;
+            return;
+        }
+        // An agent that has not seen the attempt speaks for its own
+        // incarnation alone.
+        let other = attempt.incarnation != sender.incarnation;
+        let ran = match refusal.ran {
+            Ran::NotRun if refusal.reason == Reason::Cancelled && other => Ran::MayHaveRun,
+            ran => ran,
+        };
+        self.failed(now, refusal.id, refusal.reason, ran, refusal.retry_after, outputs);
+    }
+
+    /// Ends the attempt under way and decides whether another one follows.
+    pub(super) fn failed(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        reason: Reason,
+        ran: Ran,
+        retry_after: Option<Duration>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempt.take() else { return };
+        let number = request.dispatch.attempt;
+        request.avoid.push(attempt.server.clone());
+        request.reason = reason;
+        request.retry_after = sooner(request.retry_after, retry_after);
+        request.ran = worse(request.ran, ran);
+        request.body.clear();
+        if reason == Reason::Crashed {
+            request.crashes += 1;
+        }
+        self.members.book.ended(now, &attempt.server, request.prompt);
+        self.trace.note(now, id, Note::Failed { attempt: number, reason, ran });
+        if self.may_retry(now, id, reason, ran) {
+            self.counters.retries += 1;
+            self.dispatch(now, id, outputs);
+            return;
+        }
+        self.finish(now, id, reason, outputs);
+    }
+
+    fn may_retry(&mut self, now: Duration, id: RequestId, reason: Reason, ran: Ran) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        if is_final(reason) || !request.may_retry() || request.deadline <= now {
+            return false;
+        }
+        if request.attempts >= ATTEMPT_LIMIT || request.crashes >= CRASH_LIMIT {
+            return false;
+        }
+        if ran == Ran::NotRun {
+            return self.budget.spend(now);
+        }
+        // What its agent saw begin is not begun again. What was lost with its
+        // agent is tried elsewhere: the claim log knows whether it began.
+        let seen = matches!(reason, Reason::Broken | Reason::Crashed);
+        if !request.dispatch.idempotent && seen {
+            return false;
+        }
+        if request.events > 0 {
+            self.counters.resumed += 1;
+        }
+        true
+    }
+
+    /// Gives the caller the final word, at once.
+    pub(super) fn finish(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        reason: Reason,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.counters.problems += 1;
+        let ran = request.ran;
+        self.trace.note(now, id, Note::GivenUp { reason, ran });
+        let problem = Problem::refused(reason, ran, request.retry_after);
+        outputs.push(Output::Answer(id, Part::Problem(problem)));
+    }
+
+    /// Gives the caller the final word when the deadline has passed.
+    pub(super) fn expire(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.stop(now, &request, outputs);
+        self.counters.problems += 1;
+        let ran = if request.attempt.is_some() { Ran::MayHaveRun } else { request.ran };
+        let reason = Reason::Late;
+        self.trace.note(now, id, Note::GivenUp { reason, ran });
+        let problem = Problem { code: Code::Deadline, ran, retry_after: come_back(&request) };
+        outputs.push(Output::Answer(id, Part::Problem(problem)));
+    }
+
+    /// The agent of these attempts has started anew: what it ran is lost.
+    pub(super) fn server_restarted(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        outputs: &mut Vec<Output>,
+    ) {
+        let lost = |request: &Request| {
+            request.attempt.as_ref().is_some_and(|attempt| {
+                attempt.server == sender.name && attempt.incarnation < sender.incarnation
+            })
+        };
+        self.lose(now, lost, outputs);
+    }
+
+    /// Ends the attempts that `lost` picks.
+    pub(super) fn lose(
+        &mut self,
+        now: Duration,
+        lost: impl Fn(&Request) -> bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        let picked = self.requests.iter().filter(|(_, request)| lost(request));
+        let ids: Vec<RequestId> = picked.map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(request) = self.requests.get(&id) {
+                self.cancel_lost(request, outputs);
+            }
+            self.failed(now, id, Reason::Unreachable, Ran::MayHaveRun, None, outputs);
+        }
+    }
+
+    /// A lost agent may only be slow: what it has not begun, it shall not begin.
+    fn cancel_lost(&self, request: &Request, outputs: &mut Vec<Output>) {
+        if let Some(attempt) = &request.attempt {
+            let cancel = wire::Message::Cancel(request.current());
+            outputs.push(Output::Send(attempt.link.clone(), cancel));
+        }
+    }
+}
+
+/// Time after which the caller of an expired request is told to come back.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+fn come_back(request: &Request) -> Option<Duration> {
+    Some(request.retry_after.unwrap_or(EXPIRED_RETRY_AFTER))
+}
+
+fn sooner(a: Option<Duration>, b: Option<Duration>) -> Option<Duration> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// The weaker promise of two: what may have run once can't be unsaid.
+fn worse(a: Ran, b: Ran) -> Ran {
+    match (a, b) {
+        (Ran::Ran, _) | (_, Ran::Ran) => Ran::Ran,
+        (Ran::MayHaveRun, _) | (_, Ran::MayHaveRun) => Ran::MayHaveRun,
+        _ => Ran::NotRun,
+    }
+}
--- /dev/null
+++ b/components/routing/src/router/mod.rs
@@ -0,0 +1,363 @@
+//! The entry's decisions: from a caller's request to its whole answer.
+//!
+//! A request goes through filters, each in a file of its own: [`ask`] finds
+//! account and route, [`choose`] picks a backend server and dispatches,
+//! [`collect`] puts the answer together, [`fail`] decides what follows an
+//! attempt that came to nothing, [`watch`] looks after time and peers.
+
+mod ask;
+mod choose;
+mod collect;
+mod fail;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use serde_json::json;
+use tables::host::Role;
+use tables::{Delta, Host, Key, Name, Row};
+use wire::{Frame, Gossip, Message, Reason, RequestId, Sender};
+
+use crate::budget::Budget;
+use crate::matching::Index;
+use crate::members::Members;
+use crate::prefix::Prefix;
+use crate::problem::Problem;
+use crate::request::{Ask, Request};
+use crate::trace::{Step, Trace};
+
+pub use ask::class;
+
+/// Retries that one first attempt pays for.
+const RETRY_RATIO: f64 = 0.2;
+/// Retries a second that are always allowed.
+const RETRY_FLOOR: f64 = 5.0;
+/// Most requests in a state dump.
+const DUMP_LIMIT: usize = 100;
+
+/// What the router is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A caller asks.
+    Ask(Ask),
+    /// A frame arrived.
+    Frame(Frame),
+    /// The caller of a request hung up.
+    HungUp(RequestId),
+    /// The platform says which rows changed.
+    Delta(Delta),
+    /// The platform lists all rows at a revision.
+    Listing(u64, Vec<(Key, Row)>),
+    /// The platform's host list at a revision.
+    Hosts(u64, Vec<Host>),
+    /// The process has been told to stop.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// A part of what the caller gets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// Status and headers.
+    Head {
+        /// The HTTP status.
+        status: u16,
+        /// The headers.
+        headers: Vec<(Name, Name)>,
+    },
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+    /// There is no answer, or no more of it.
+    Problem(Problem),
+}
+
+/// What the router wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message to the process at this address.
+    Send(Name, Message),
+    /// Close the link to this address.
+    Forget(Name),
+    /// Pass a part of the answer to the caller.
+    Answer(RequestId, Part),
+    /// The process is leaving and nothing is left to do.
+    Drained,
+}
+
+/// What the router is built with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The entry's name in the host list.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Its own link address.
+    pub link: Name,
+    /// Links of other entries to ask before serving.
+    pub peers: Vec<Name>,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// What the router has counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Requests that callers sent.
+    pub asked: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Requests that ended with a problem.
+    pub problems: u64,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Streams resumed on another backend server.
+    pub resumed: u64,
+    /// Messages for attempts that are over.
+    pub stale: u64,
+    /// Requests whose caller hung up.
+    pub hung_up: u64,
+}
+
+/// The state of one entry.
+pub struct Router {
+    options: Options,
+    gossip: Gossip,
+    index: Index,
+    hosts: Vec<Host>,
+    hosts_revision: u64,
+    members: Members,
+    prefix: Prefix,
+    budget: Budget,
+    rng: ChaCha8Rng,
+    // Ordered, so that the same inputs always give the same outputs.
+    requests: BTreeMap<RequestId, Request>,
+    trace: Trace,
+    answered_peers: bool,
+    platform_seen: bool,
+    joined: Option<Duration>,
+    gossiped: Option<Duration>,
+    leaving: bool,
+    drained: bool,
+    counters: Counters,
+}
+
+impl Router {
+    /// A router that knows nothing yet.
+    pub fn new(options: Options) -> Router {
+        Router {
+            gossip: Gossip::default(),
+            index: Index::default(),
+            hosts: Vec::new(),
+            hosts_revision: 0,
+            members: Members::new(options.name.clone()),
+            prefix: Prefix::default(),
+            budget: Budget::new(RETRY_RATIO, RETRY_FLOOR),
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            requests: BTreeMap::new(),
+            trace: Trace::default(),
+            answered_peers: false,
+            platform_seen: false,
+            joined: None,
+            gossiped: None,
+            leaving: false,
+            drained: false,
+            counters: Counters::default(),
+            options,
+        }
+    }
+
+    /// Takes one input and says what to do.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Ask(ask) => self.ask(now, ask, &mut outputs),
+            Input::Frame(frame) => self.frame(now, frame, &mut outputs),
+            Input::HungUp(id) => self.hung_up(now, id, &mut outputs),
+            Input::Delta(delta) => {
+                self.platform_seen = true;
+                let changed = self.gossip.merge(delta);
+                self.configured(changed);
+            }
+            Input::Listing(revision, rows) => {
+                self.platform_seen = true;
+                let changed = self.gossip.replace(revision, rows);
+                self.configured(changed);
+            }
+            Input::Hosts(revision, hosts) => self.update_hosts(revision, hosts, &mut outputs),
+            Input::Leave => self.leaving = true,
+            Input::Tick => self.tick(now, &mut outputs),
+        }
+        if self.leaving && !self.drained && self.requests.is_empty() {
+            self.drained = true;
+            outputs.push(Output::Drained);
+        }
+        outputs
+    }
+
+    /// The revision of the configuration in force here.
+    pub fn revision(&self) -> u64 {
+        self.gossip.table().revision()
+    }
+
+    /// Whether the entry may serve: it has a table, it knows hosts, and it has
+    /// heard the platform or a peer.
+    pub fn is_ready(&self) -> bool {
+        let told = self.platform_seen || self.answered_peers;
+        told && self.revision() > 0 && !self.members.is_empty() && !self.leaving
+    }
+
+    /// The number of requests not answered yet.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The counters since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Why a request went where it did, if it is still known.
+    pub fn explain(&self, id: &RequestId) -> Option<&[Step]> {
+        self.trace.explain(id)
+    }
+
+    /// The state as JSON, with at most a hundred requests and members.
+    pub fn dump(&self, now: Duration) -> serde_json::Value {
+        let members: Vec<_> = self
+            .members
+            .sorted()
+            .iter()
+            .take(DUMP_LIMIT)
+            .map(|m| self.dump_member(now, m))
+            .collect();
+        let requests: Vec<_> = self
+            .requests
+            .iter()
+            .take(DUMP_LIMIT)
+            .map(|(id, request)| {
+                json!({
+                    "request": id.to_string(),
+                    "account": request.dispatch.account,
+                    "route": request.route,
+                    "attempts": request.attempts,
+                    "server": request.attempt.as_ref().map(|attempt| attempt.server.clone()),
+                    "events": request.events,
+                })
+            })
+            .collect();
+        json!({
+            "name": self.options.name,
+            "zone": self.options.zone,
+            "revision": self.revision(),
+            "ready": self.is_ready(),
+            "leaving": self.leaving,
+            "hosts_revision": self.hosts_revision,
+            "hosts": self.hosts.len(),
+            "members_known": self.members.len(),
+            "members": members,
+            "open": self.requests.len(),
+            "requests": requests,
+            "counters": self.counters,
+        })
+    }
+
+    fn dump_member(&self, now: Duration, member: &crate::members::Member) -> serde_json::Value {
+        let view = self.members.view(now, &member.host.name);
+        json!({
+            "server": member.host.name,
+            "zone": member.host.zone,
+            "incarnation": member.incarnation,
+            "lost": crate::members::is_lost(now, member),
+            "in_flight": self.members.book.in_flight(&member.host.name),
+            "report_age_ms": view.age.as_millis() as u64,
+            "report": view.report,
+        })
+    }
+
+    fn frame(&mut self, now: Duration, frame: Frame, outputs: &mut Vec<Output>) {
+        let Some(restarted) = self.members.hear(now, &frame.sender) else {
+            self.counters.stale += frame.messages.len() as u64;
+            return;
+        };
+        if restarted {
+            self.server_restarted(now, &frame.sender, outputs);
+        }
+        if let Some(pull) = self.gossip.observe(now, &frame.sender.link, frame.revision) {
+            outputs.push(Output::Send(frame.sender.link.clone(), pull));
+        }
+        for message in frame.messages {
+            self.message(now, &frame.sender, message, outputs);
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Duration,
+        sender: &Sender,
+        message: Message,
+        outputs: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Refusal(refusal) => self.refusal(now, sender, refusal, outputs),
+            Message::Head(head) => self.head(now, sender, head, outputs),
+            Message::Chunk(chunk) => self.chunk(now, sender, chunk, outputs),
+            Message::End(end) => self.end(now, sender, end, outputs),
+            Message::Report(report) => self.members.observe(now, &sender.name, report),
+            Message::Pull(since) => {
+                let delta = Message::Delta(self.gossip.delta(since));
+                outputs.push(Output::Send(sender.link.clone(), delta));
+            }
+            Message::Delta(delta) => {
+                self.answered_peers = true;
+                let changed = self.gossip.merge(delta);
+                self.configured(changed);
+            }
+            Message::PullHosts => {
+                let hosts = Message::Hosts(self.hosts_revision, self.hosts.clone());
+                outputs.push(Output::Send(sender.link.clone(), hosts));
+            }
+            Message::Hosts(revision, hosts) => self.update_hosts(revision, hosts, outputs),
+            _ => {}
+        }
+    }
+
+    fn configured(&mut self, changed: bool) {
+        if changed {
+            self.index = Index::new(self.gossip.table());
+        }
+    }
+
+    fn update_hosts(&mut self, revision: u64, hosts: Vec<Host>, outputs: &mut Vec<Output>) {
+        if revision <= self.hosts_revision {
+            return;
+        }
+        self.hosts_revision = revision;
+        let gone = self.members.update(&hosts);
+        outputs.extend(gone.into_iter().map(Output::Forget));
+        self.hosts = hosts;
+    }
+
+    /// Links of the other entries, from the host list and the settings.
+    fn peers(&self) -> Vec<Name> {
+        let listed = self.hosts.iter().filter(|host| host.role == Role::Entry);
+        let mut links: Vec<Name> = listed.map(|host| host.link.clone()).collect();
+        links.extend(self.options.peers.iter().cloned());
+        links.retain(|link| *link != self.options.link);
+        links.sort();
+        links.dedup();
+        links
+    }
+}
+
+/// Whether a reason ends the request, wherever it is sent.
+fn is_final(reason: Reason) -> bool {
+    matches!(reason, Reason::Running | Reason::Mismatch | Reason::Unknown | Reason::Poison)
+}
--- /dev/null
+++ b/components/routing/src/router/watch.rs
@@ -0,0 +1,111 @@
+//! What time brings: deadlines, silent agents, heartbeats, peers.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use wire::{Message, RequestId, Resend};
+
+use super::{Output, Router};
+use crate::members::is_lost;
+use crate::request::Request;
+
+/// Silence after which an agent is asked for what is missing.
+const ASK_AFTER: Duration = Duration::from_secs(1);
+/// Wait for chunks that are missing although later ones came.
+const GAP_AFTER: Duration = Duration::from_millis(200);
+/// Questions without an answer after which an unlisted agent is taken for lost.
+const PROBE_LIMIT: u32 = 3;
+/// Time between two rounds of gossip with other entries.
+const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
+/// Other entries that one round of gossip goes to.
+const GOSSIP_PEERS: usize = 2;
+
+impl Router {
+    pub(super) fn tick(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        self.gossip_round(now, outputs);
+        for link in self.members.due(now) {
+            outputs.push(Output::Send(link, Message::Heartbeat));
+        }
+        self.expire_due(now, outputs);
+        self.lose_silent(now, outputs);
+        self.ask_silent(now, outputs);
+    }
+
+    fn expire_due(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let due = self.requests.iter().filter(|(_, request)| request.deadline <= now);
+        let ids: Vec<RequestId> = due.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.expire(now, id, outputs);
+        }
+    }
+
+    fn lose_silent(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let mut silent = std::collections::BTreeSet::new();
+        for request in self.requests.values() {
+            let Some(attempt) = &request.attempt else { continue };
+            let lost = match self.members.member(&attempt.server) {
+                Some(member) => is_lost(now, member),
+                None => attempt.probes > PROBE_LIMIT,
+            };
+            if lost {
+                silent.insert(request.dispatch.id);
+            }
+        }
+        self.lose(now, |request| silent.contains(&request.dispatch.id), outputs);
+    }
+
+    fn ask_silent(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let mut asked = Vec::new();
+        for request in self.requests.values_mut() {
+            if let Some((server, message)) = ask(now, request) {
+                asked.push(server.clone());
+                let link = request.attempt.as_ref().map(|attempt| attempt.link.clone());
+                outputs.extend(link.map(|link| Output::Send(link, message)));
+            }
+        }
+        for server in asked {
+            self.members.expect(now, &server);
+        }
+    }
+
+    fn gossip_round(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let due = self.gossiped.is_none_or(|last| now.saturating_sub(last) >= GOSSIP_INTERVAL);
+        if !due {
+            return;
+        }
+        self.gossiped = Some(now);
+        let peers = self.peers();
+        let joining = self.joined.is_none();
+        if self.answered_peers || self.platform_seen {
+            self.joined.get_or_insert(now);
+        }
+        // Until it has heard anybody, an entry asks all the peers it knows.
+        if joining {
+            for link in &peers {
+                let pull = Message::Pull(self.revision());
+                outputs.push(Output::Send(link.clone(), pull));
+                outputs.push(Output::Send(link.clone(), Message::PullHosts));
+            }
+            return;
+        }
+        let chosen = peers.choose_multiple(&mut self.rng, GOSSIP_PEERS);
+        outputs.extend(chosen.map(|link| Output::Send(link.clone(), Message::Heartbeat)));
+    }
+}
+
+/// The question to the agent of an attempt that has been silent too long.
+fn ask(now: Duration, request: &mut Request) -> Option<(tables::Name, Message)> {
+    let id = request.dispatch.id;
+    let number = request.dispatch.attempt;
+    let attempt = request.attempt.as_mut()?;
+    let gap = !attempt.early.is_empty() || attempt.end.is_some();
+    let wait = if gap { GAP_AFTER } else { ASK_AFTER };
+    let since = attempt.heard.max(attempt.asked);
+    if now.saturating_sub(since) < wait {
+        return None;
+    }
+    attempt.asked = now;
+    attempt.probes += 1;
+    let resend = Resend { id, attempt: number, from: attempt.next };
+    Some((attempt.server.clone(), Message::Resend(resend)))
+}
--- /dev/null
+++ b/components/routing/src/trace.rs
@@ -0,0 +1,105 @@
+//! Why requests went where they did: a bounded record for operators.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+use tables::Name;
+use wire::{Ran, Reason, RequestId};
+
+/// Most requests whose steps are kept.
+const REQUEST_LIMIT: usize = 2048;
+/// Most steps of one request.
+const STEP_LIMIT: usize = 32;
+
+/// One step on a request's way.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Step {
+    /// When, since the start of the process.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub at_ms: Duration,
+    /// What happened.
+    #[serde(flatten)]
+    pub note: Note,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "step", rename_all = "snake_case")]
+pub enum Note {
+    /// It arrived and matched a route.
+    Matched {
+        /// The client account.
+        account: Name,
+        /// The route.
+        route: Name,
+        /// The pools of the route.
+        pools: Vec<Name>,
+    },
+    /// It was sent to a backend server.
+    Sent {
+        /// The number of the attempt.
+        attempt: u32,
+        /// The backend server.
+        server: Name,
+        /// How many backend servers could have taken it.
+        candidates: usize,
+        /// Events that the caller already had.
+        resume: u32,
+    },
+    /// An attempt was refused or failed.
+    Failed {
+        /// The number of the attempt.
+        attempt: u32,
+        /// Why.
+        reason: Reason,
+        /// Whether it ran.
+        ran: Ran,
+    },
+    /// The caller has the whole answer.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The request was given up.
+    GivenUp {
+        /// Why.
+        reason: Reason,
+        /// Whether it ran.
+        ran: Ran,
+    },
+    /// The caller hung up.
+    HungUp,
+}
+
+/// The steps of recent requests.
+#[derive(Clone, Debug, Default)]
+pub struct Trace {
+    order: VecDeque<RequestId>,
+    steps: HashMap<RequestId, Vec<Step>>,
+}
+
+impl Trace {
+    /// Adds a step; the oldest request beyond the bound is forgotten.
+    pub fn note(&mut self, now: Duration, id: RequestId, note: Note) {
+        let steps = self.steps.entry(id).or_insert_with(|| {
+            self.order.push_back(id);
+            Vec::new()
+        });
+        if steps.len() < STEP_LIMIT {
+            steps.push(Step { at_ms: now, note });
+        }
+        if self.order.len() > REQUEST_LIMIT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.steps.remove(&oldest);
+        }
+    }
+
+    /// The steps of a request, if it is still known.
+    pub fn explain(&self, id: &RequestId) -> Option<&[Step]> {
+        self.steps.get(id).map(Vec::as_slice)
+    }
+}
