--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Counters, logs and dumps of a process.
+//!
+//! [`Metrics`] holds a process's counters, [`init_log`] sets up its log and
+//! [`operations`] serves both, with health, readiness and a dump of the state,
+//! on the operations address.
+
+pub mod dump;
+mod log_setup;
+mod metrics;
+mod operations;
+
+pub use log_setup::{Level, LogError, init_log};
+pub use metrics::{Counter, Gauge, Histogram, Metrics, MetricsError};
+pub use operations::{Readiness, operations};
--- /dev/null
+++ b/components/telemetry/src/log_setup.rs
@@ -0,0 +1,73 @@
+//! The log: lines to standard error by log4rs.
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use serde::{Deserialize, Serialize};
+
+/// Time in UTC, level, module and message.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
+/// Name of the only appender.
+const APPENDER: &str = "stderr";
+
+/// Which lines are logged, as settings spell it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Faults that need an operator.
+    Error,
+    /// What may become one.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// For developers.
+    Debug,
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => Self::Off,
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+        }
+    }
+}
+
+/// The log could not be set up.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum LogError {
+    /// The process has a log already.
+    #[error("the log is set up already")]
+    Twice(#[from] log::SetLoggerError),
+    /// log4rs refused the configuration.
+    #[error("the log's configuration is faulty")]
+    Config(#[from] log4rs::config::runtime::ConfigErrors),
+}
+
+/// Sends the log of this process to standard error, once.
+///
+/// # Errors
+///
+/// [`LogError::Twice`] if the process has a log already.
+///
+/// ```
+/// use telemetry::{Level, init_log};
+/// assert!(init_log(Level::Warn).is_ok());
+/// assert!(init_log(Level::Warn).is_err());
+/// ```
+pub fn init_log(level: impl Into<LevelFilter>) -> Result<(), LogError> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let appender = Appender::builder().build(APPENDER, Box::new(console));
+    let root = Root::builder().appender(APPENDER).build(level.into());
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
