--- a/components/lab/src/lib.rs
+++ b/components/lab/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins, load and experiments for development.
+
+pub mod platform;
