Judge limits by windows of first tokens and bound the pending ones

Cause: a limit measured by single noisy latencies never came to its warm capacity, and a server that turns cold unannounced gives no sign before its next first token.

--- a/components/admission/examples/admission.rs
+++ b/components/admission/examples/admission.rs
@@ -7,7 +7,13 @@
 
 fn main() {
     println!("control pause seed worst excess collapses full full_again answered");
-    for control in [Control::Adaptive, Control::AdaptiveLate, Control::Fixed, Control::Unlimited] {
+    for control in [
+        Control::Adaptive,
+        Control::AdaptiveUnbounded,
+        Control::AdaptiveLate,
+        Control::Fixed,
+        Control::Unlimited,
+    ] {
         for pause in [0.0, 30.0] {
             for seed in SEEDS {
                 let run = ramp(seed, control, 40.0, pause);
--- a/components/admission/src/experiment/ramp.rs
+++ b/components/admission/src/experiment/ramp.rs
@@ -35,8 +35,11 @@
 /// Who sets the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Control {
-    /// [`Limit`], told of each first token.
+    /// [`Limit`] with its bound on requests that wait for a first token, told
+    /// of each first token.
     Adaptive,
+    /// [`Limit`] without that bound.
+    AdaptiveUnbounded,
     /// [`Limit`], told only when an answer is over.
     AdaptiveLate,
     /// A fixed limit at the warm capacity.
@@ -131,7 +134,7 @@
         if at < engine.down_until {
             continue;
         }
-        while waiting > 0 && (engine.running.len() as u32) < most(control, &limit, now) {
+        while waiting > 0 && admits(&engine, control, &limit, at) {
             waiting -= 1;
             admit(&mut engine, at, &mut rng, &mut result);
         }
@@ -143,11 +146,15 @@
     result
 }
 
-fn most(control: Control, limit: &Limit, now: Duration) -> u32 {
+fn admits(engine: &Engine, control: Control, limit: &Limit, at: f64) -> bool {
+    let now = Duration::from_secs_f64(at);
+    let running = engine.running.len() as u32;
+    let pending = engine.running.iter().filter(|running| running.first > at).count() as u32;
     match control {
-        Control::Adaptive | Control::AdaptiveLate => limit.current(now),
-        Control::Fixed => crate::baseline::fixed(WARM as u32),
-        Control::Unlimited => crate::baseline::unlimited(),
+        Control::Adaptive | Control::AdaptiveLate => limit.admits(now, running, pending),
+        Control::AdaptiveUnbounded => running < limit.current(now),
+        Control::Fixed => running < crate::baseline::fixed(WARM as u32),
+        Control::Unlimited => running < crate::baseline::unlimited(),
     }
 }
 
--- a/components/admission/src/limit.rs
+++ b/components/admission/src/limit.rs
@@ -1,8 +1,13 @@
 //! How many requests a backend server may run at once.
 //!
-//! The limit starts small and grows only on evidence: first tokens at a healthy
-//! latency while the limit was in use. Without evidence it shrinks, since a
-//! backend server may turn cold without notice.
+//! The limit starts small and grows only on evidence: a window of first tokens
+//! at a healthy latency while the limit was in use. Latency well above the
+//! healthy one lowers it; latency far above says that the backend server is
+//! cold, whether it said so or not. Without evidence the limit shrinks, and
+//! comes back fast, like a congestion window below its slow-start threshold.
+//!
+//! Since a backend server that turned cold gives no evidence before its next
+//! first token, the requests that wait for theirs are limited besides.
 
 use std::time::Duration;
 
@@ -10,34 +15,50 @@
 pub const COLD_LIMIT: u32 = 2;
 /// First-token latency taken as healthy while nothing better is known.
 pub const HEALTHY: Duration = Duration::from_millis(250);
-/// Multiple of the best latency up to which a latency is healthy.
-pub const HEALTHY_FACTOR: f64 = 1.5;
-/// Multiple of the best latency from which on a latency says overload.
+/// Multiple of the base latency up to which a mean latency is healthy.
+pub const HEALTHY_FACTOR: f64 = 1.7;
+/// Multiple of the base latency from which on a mean latency says overload.
 pub const OVERLOAD_FACTOR: f64 = 2.0;
-/// Multiple of the best latency from which on a latency says cold.
+/// Multiple of the base latency from which on a single latency says cold.
 pub const COLD_FACTOR: f64 = 3.0;
 /// Successive cold latencies or failures that make a backend server cold.
 pub const COLD_EVIDENCE: u32 = 3;
 /// Share of the limit kept after an overload.
 pub const DECREASE: f64 = 0.8;
-/// Growth of the limit for one round of healthy first tokens.
+/// Growth of the limit for one healthy window.
 pub const GROWTH: f64 = 0.25;
-/// Time without evidence in which the limit halves.
-pub const IDLE: Duration = Duration::from_secs(10);
-/// Share by which the best latency rises with each observation above it.
-pub const DRIFT: f64 = 0.0005;
+/// Fewest first tokens of a window.
+pub const WINDOW: u32 = 4;
+/// First tokens of a window, as a divisor of the limit.
+pub const WINDOW_SHARE: u32 = 2;
+/// Time without evidence after which the limit halves, again and again.
+pub const IDLE: Duration = Duration::from_secs(5);
+/// Time in which the base latency doubles while a backend server stays at the
+/// cold limit, lest one lucky window hold it there for ever.
+pub const DRIFT: Duration = Duration::from_secs(60);
+/// Requests that may wait for their first token, as a divisor of the limit.
+pub const PENDING_SHARE: u32 = 16;
 
 /// The limit of one backend server.
 #[derive(Clone, Debug)]
 pub struct Limit {
     most: f64,
     limit: f64,
-    best: Option<f64>,
+    /// Limit that was held on evidence, up to which it may come back fast.
+    proven: f64,
+    base: Option<f64>,
     cold: bool,
     bad: u32,
-    round: u32,
+    window: Window,
     at: Duration,
-    changed: Duration,
+}
+
+/// First tokens since the limit changed.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    count: u32,
+    sum: f64,
+    running: u32,
 }
 
 impl Limit {
@@ -52,7 +73,16 @@
     pub fn new(now: Duration, most: u32) -> Limit {
         let most = f64::from(most.max(1));
         let limit = f64::from(COLD_LIMIT).min(most);
-        Limit { most, limit, best: None, cold: true, bad: 0, round: 0, at: now, changed: now }
+        Limit {
+            most,
+            limit,
+            proven: limit,
+            base: None,
+            cold: true,
+            bad: 0,
+            window: Window::default(),
+            at: now,
+        }
     }
 
     /// The most requests that may run at once now.
@@ -60,85 +90,116 @@
         self.decayed(now) as u32
     }
 
+    /// The most requests that may wait for their first token at once now.
+    pub fn pending(&self, now: Duration) -> u32 {
+        (self.current(now) / PENDING_SHARE).max(COLD_LIMIT)
+    }
+
+    /// Whether one more request may start while `running` run, of which
+    /// `pending` have no first token yet.
+    pub fn admits(&self, now: Duration, running: u32, pending: u32) -> bool {
+        running < self.current(now) && pending < self.pending(now)
+    }
+
     /// Whether the backend server counts as cold.
     pub fn is_cold(&self, _now: Duration) -> bool {
         self.cold
     }
 
-    /// Takes in the outcome of a request, once, when its first token came or it
-    /// failed before: how many ran with it, its first-token latency, and
-    /// whether it went well.
+    /// Takes in the outcome of a request, once: when its first token came, or
+    /// when it failed before. `running` is how many ran with it. Told only when
+    /// answers are over, the limit is as safe but slower.
     pub fn complete(&mut self, now: Duration, running: u32, first_token: Duration, ok: bool) {
         self.limit = self.decayed(now);
+        self.drift(now);
         self.at = now;
         let latency = first_token.as_secs_f64();
         if !ok || latency > self.base() * COLD_FACTOR {
             return self.worsen(now);
         }
         self.bad = 0;
-        self.learn(latency);
-        if latency > self.base() * OVERLOAD_FACTOR {
-            return self.decrease(now);
-        }
-        if latency <= self.base() * HEALTHY_FACTOR {
-            self.grow(now, running);
+        self.window.add(latency, running);
+        if self.window.count >= (self.limit as u32 / WINDOW_SHARE).max(WINDOW) {
+            self.judge();
         }
     }
 
     /// Starts cold again: the engine was restarted.
     pub fn restart(&mut self, now: Duration) {
-        self.limit = f64::from(COLD_LIMIT).min(self.most);
+        self.limit = self.least();
+        self.proven = self.limit;
         self.cold = true;
         self.bad = 0;
-        self.round = 0;
+        self.window = Window::default();
         self.at = now;
-        self.changed = now;
+    }
+
+    fn least(&self) -> f64 {
+        f64::from(COLD_LIMIT).min(self.most)
     }
 
     fn base(&self) -> f64 {
-        self.best.unwrap_or(HEALTHY.as_secs_f64())
+        self.base.unwrap_or(HEALTHY.as_secs_f64())
     }
 
-    fn learn(&mut self, latency: f64) {
-        let best = match self.best {
-            Some(best) if latency >= best => best + (latency - best) * DRIFT,
-            _ => latency,
+    /// Ends a window: learns from it, and moves the limit.
+    fn judge(&mut self) {
+        let window = std::mem::take(&mut self.window);
+        let mean = window.sum / f64::from(window.count);
+        self.base = Some(self.base.map_or(mean, |base| base.min(mean)));
+        let ratio = mean / self.base();
+        if ratio > OVERLOAD_FACTOR {
+            self.decrease();
+        } else if ratio <= HEALTHY_FACTOR && f64::from(window.running) >= self.limit.floor() * 0.5 {
+            self.grow((HEALTHY_FACTOR - ratio) / (HEALTHY_FACTOR - 1.0));
+        }
+    }
+
+    /// Grows the limit, the less the nearer the latency is to unhealthy.
+    fn grow(&mut self, room: f64) {
+        let grown = if self.limit < self.proven {
+            (self.limit * 2.0).min(self.proven)
+        } else {
+            self.limit + (self.limit * GROWTH).max(1.0) * room
         };
-        self.best = Some(best);
+        self.limit = grown.min(self.most);
+        self.proven = self.proven.max(self.limit);
+        self.cold = self.cold && self.limit < self.most * 0.5;
+    }
+
+    fn decrease(&mut self) {
+        self.limit = (self.limit * DECREASE).max(self.least());
+        self.proven = self.limit;
+        self.window = Window::default();
     }
 
     fn worsen(&mut self, now: Duration) {
         self.bad += 1;
-        self.round = 0;
         if self.bad >= COLD_EVIDENCE {
             return self.restart(now);
         }
-        self.decrease(now);
-    }
-
-    fn decrease(&mut self, now: Duration) {
-        self.limit = (self.limit * DECREASE).max(f64::from(COLD_LIMIT).min(self.most));
-        self.round = 0;
-        self.changed = now;
+        self.decrease();
     }
 
-    fn grow(&mut self, now: Duration, running: u32) {
-        if f64::from(running) < self.limit.floor() * 0.5 {
+    fn drift(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if self.limit > self.least() {
             return;
         }
-        self.round += 1;
-        if f64::from(self.round) < self.limit {
-            return;
-        }
-        self.round = 0;
-        self.limit = (self.limit + (self.limit * GROWTH).max(1.0)).min(self.most);
-        self.cold = self.cold && self.limit < self.most * 0.5;
-        self.changed = now;
+        self.base = self.base.map(|base| base * 2f64.powf(passed / DRIFT.as_secs_f64()));
     }
 
     fn decayed(&self, now: Duration) -> f64 {
-        let idle = now.saturating_sub(self.at).saturating_sub(IDLE).as_secs_f64();
-        let decayed = self.limit * 0.5f64.powf(idle / IDLE.as_secs_f64());
-        decayed.max(f64::from(COLD_LIMIT).min(self.limit))
+        let halvings = (now.saturating_sub(self.at).as_secs_f64() / IDLE.as_secs_f64()).floor();
+        let decayed = self.limit * 0.5f64.powf(halvings);
+        decayed.max(self.least())
+    }
+}
+
+impl Window {
+    fn add(&mut self, latency: f64, running: u32) {
+        self.count += 1;
+        self.sum += latency;
+        self.running = self.running.max(running);
     }
 }
