--- a/components/claims/src/commit.rs
+++ b/components/claims/src/commit.rs
@@ -55,7 +55,7 @@
         self.attach_spill(&mut next, out);
         let taken = self.apply_own(context, version, &mut next);
         let value = next.encode();
-        if value.len() > context.settings.spill_size {
+        if value.len() - next.list_size() > context.settings.spill_size {
             self.start_spill(context, out);
         }
         if value.len() > context.settings.head_limit {
--- a/components/claims/src/log.rs
+++ b/components/claims/src/log.rs
@@ -106,6 +106,11 @@
     pub fn encode(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
     }
+
+    /// Size of the list of segments within the value, in bytes.
+    pub(crate) fn list_size(&self) -> usize {
+        serde_json::to_string(&self.segments).unwrap_or_default().len()
+    }
 }
 
 impl Records {
--- a/components/claims/src/message.rs
+++ b/components/claims/src/message.rs
@@ -215,7 +215,7 @@
     pub idle: Duration,
     /// Largest answer that is kept, in bytes.
     pub answer_limit: usize,
-    /// Size of a head from which records move to a segment, in bytes.
+    /// Size of a head's records from which they move to a segment, in bytes.
     pub spill_size: usize,
     /// Largest head that is written, in bytes.
     pub head_limit: usize,
