Add the entry and agent daemons

Cause: the deciding crates need thin pipes: HTTP, frames, platform calls and timers become inputs of one actor, its outputs become frames, calls and answers. Conclusion: not yet run end to end; the path test follows.

--- /dev/null
+++ b/bins/wisteria-agent/src/cmd/serve.rs
@@ -0,0 +1,11 @@
+//! Serves until told to stop.
+
+use std::process::ExitCode;
+
+use crate::cmd::flags::Agent;
+
+/// Runs the daemon, or only checks its settings.
+pub fn run(flags: Agent) -> ExitCode {
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    daemon::start(flags, |settings| agent::run(settings, daemon::stopped()))
+}
--- /dev/null
+++ b/bins/wisteria-entry/src/cmd/serve.rs
@@ -0,0 +1,11 @@
+//! Serves until told to stop.
+
+use std::process::ExitCode;
+
+use crate::cmd::flags::Entry;
+
+/// Runs the daemon, or only checks its settings.
+pub fn run(flags: Entry) -> ExitCode {
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    daemon::start(flags, |settings| entry::run(settings, daemon::stopped()))
+}
--- a/components/admission/src/attempt.rs
+++ b/components/admission/src/attempt.rs
@@ -103,9 +103,4 @@
         messages.extend(self.last.clone());
         messages
     }
-
-    /// The size of the kept body, in bytes.
-    pub fn size(&self) -> usize {
-        self.chunks.iter().map(|chunk| chunk.data.len()).sum()
-    }
 }
--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -839,7 +839,7 @@
     }
 
     fn drain(&mut self, outputs: &mut Vec<Output>) {
-        let idle = self.active.is_empty() && self.queue.len() == 0 && self.alone.is_empty();
+        let idle = self.active.is_empty() && self.queue.is_empty() && self.alone.is_empty();
         let sent = self.attempts.values().all(|attempt| attempt.stage == Stage::Done);
         if self.leaving && !self.drained && idle && sent {
             self.drained = true;
--- /dev/null
+++ b/components/agent/src/core.rs
@@ -0,0 +1,205 @@
+//! The actor that holds the agent's state, its links and its open calls.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use actix::{Actor, AsyncContext, Context, Handler, Message};
+use serde_json::Value;
+use tables::{Name, PoolKind};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use wire::{Frame, Link};
+
+use crate::meter::Meter;
+use crate::state::{Effect, Input, State};
+use crate::{backend, health, storage};
+
+/// Time between two ticks of the state.
+const TICK: Duration = Duration::from_millis(20);
+/// Time for which parts of answers are gathered into one frame.
+const FLUSH: Duration = Duration::from_millis(2);
+/// Time between two updates of the metrics.
+const SHOW: Duration = Duration::from_millis(500);
+
+/// What the actor calls.
+pub struct Callees {
+    /// Client for calls to the backend server.
+    pub backend: awc::Client,
+    /// Base URL of the backend server.
+    pub base: Name,
+    /// What the backend server is.
+    pub kind: PoolKind,
+    /// Client of the platform's object API.
+    pub platform: platform::Client,
+    /// Pool of the backend server.
+    pub pool: Name,
+    /// Time between two looks at the backend server.
+    pub check: Duration,
+}
+
+/// The actor.
+pub struct Core {
+    state: State,
+    link: Link,
+    meter: Meter,
+    callees: Callees,
+    calls: HashMap<u64, JoinHandle<()>>,
+    started: Instant,
+    drained: Option<oneshot::Sender<()>>,
+}
+
+/// An input for the state.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct News(pub Input);
+
+/// A frame arrived.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Inbound(pub Frame);
+
+/// The process has been told to stop; `drained` hears when nothing is left.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave {
+    /// Told once.
+    pub drained: oneshot::Sender<()>,
+}
+
+/// Whether the agent takes work.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Ready;
+
+/// The state as JSON.
+#[derive(Message)]
+#[rtype(result = "Value")]
+pub struct Dump;
+
+impl Core {
+    /// An actor around a state.
+    pub fn new(state: State, link: Link, meter: Meter, callees: Callees) -> Core {
+        Core {
+            state,
+            link,
+            meter,
+            callees,
+            calls: HashMap::new(),
+            started: Instant::now(),
+            drained: None,
+        }
+    }
+
+    fn step(&mut self, input: Input, context: &mut Context<Core>) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        for effect in self.state.step(self.started.elapsed(), wall, input) {
+            self.carry_out(effect, context);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect, context: &mut Context<Core>) {
+        match effect {
+            Effect::Send(address, message) => {
+                if let Err(error) = self.link.push(&address, message) {
+                    log::warn!("{error}");
+                }
+            }
+            Effect::Run(ticket, dispatch) => self.run(ticket, dispatch, context),
+            Effect::Stop(ticket) => {
+                if let Some(call) = self.calls.remove(&ticket) {
+                    call.abort();
+                }
+            }
+            Effect::Check => self.check(context),
+            Effect::Claims(output) => {
+                let call =
+                    storage::call(self.callees.platform.clone(), self.callees.pool.clone(), output);
+                let core = context.address();
+                actix_rt::spawn(async move {
+                    if let Some(input) = call.await {
+                        core.do_send(News(Input::Claims(input)));
+                    }
+                });
+            }
+            Effect::Drained => {
+                if let Some(drained) = self.drained.take() {
+                    let _ = drained.send(());
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, ticket: u64, dispatch: wire::Dispatch, context: &mut Context<Core>) {
+        let core = context.address();
+        let event = move |event| core.do_send(News(Input::Event(ticket, event)));
+        let client = self.callees.backend.clone();
+        let call = backend::run(client, self.callees.base.clone(), dispatch, event);
+        self.calls.insert(ticket, actix_rt::spawn(call));
+    }
+
+    fn check(&mut self, context: &mut Context<Core>) {
+        let core = context.address();
+        let client = self.callees.backend.clone();
+        let look = health::check(client, self.callees.base.clone(), self.callees.kind);
+        actix_rt::spawn(async move { core.do_send(News(look.await)) });
+    }
+}
+
+impl Actor for Core {
+    type Context = Context<Core>;
+
+    fn started(&mut self, context: &mut Context<Core>) {
+        context.set_mailbox_capacity(1 << 16);
+        self.check(context);
+        context.run_interval(TICK, |core, context| core.step(Input::Tick, context));
+        context.run_interval(FLUSH, |core, _| core.link.flush(core.state.revision()));
+        context.run_interval(self.callees.check, |core, context| core.check(context));
+        context.run_interval(SHOW, |core, _| {
+            core.calls.retain(|_, call| !call.is_finished());
+            let report = core.state.report(core.started.elapsed());
+            core.meter.show(&core.state.counters(), &report, core.state.revision());
+        });
+    }
+}
+
+impl Handler<News> for Core {
+    type Result = ();
+
+    fn handle(&mut self, news: News, context: &mut Context<Core>) {
+        self.step(news.0, context);
+    }
+}
+
+impl Handler<Inbound> for Core {
+    type Result = ();
+
+    fn handle(&mut self, inbound: Inbound, context: &mut Context<Core>) {
+        self.step(Input::Frame(inbound.0), context);
+    }
+}
+
+impl Handler<Leave> for Core {
+    type Result = ();
+
+    fn handle(&mut self, leave: Leave, context: &mut Context<Core>) {
+        log::info!("leaving");
+        self.drained = Some(leave.drained);
+        self.step(Input::Leave, context);
+    }
+}
+
+impl Handler<Ready> for Core {
+    type Result = bool;
+
+    fn handle(&mut self, _: Ready, _: &mut Context<Core>) -> bool {
+        self.state.is_ready()
+    }
+}
+
+impl Handler<Dump> for Core {
+    type Result = actix::MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Context<Core>) -> Self::Result {
+        actix::MessageResult(self.state.dump(self.started.elapsed()))
+    }
+}
--- /dev/null
+++ b/components/agent/src/health.rs
@@ -0,0 +1,45 @@
+//! Looks at the backend server: its incarnation and its load.
+
+use std::time::Duration;
+
+use awc::Client;
+use serde::Deserialize;
+use tables::{Name, PoolKind};
+
+use crate::state::Input;
+
+/// Path of a model engine's load report.
+const LOAD_PATH: &str = "/v1/load";
+/// Longest wait for a reply of the backend server.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What is read of a model engine's load report.
+#[derive(Debug, Deserialize)]
+struct Load {
+    incarnation: u64,
+    #[serde(default)]
+    queued_prefill: u32,
+}
+
+/// Looks once.
+pub async fn check(client: Client, base: Name, kind: PoolKind) -> Input {
+    let found = match kind {
+        PoolKind::Model => load(&client, &base).await,
+        PoolKind::Service => reach(&client, &base).await,
+    };
+    found.unwrap_or(Input::Unreachable)
+}
+
+async fn load(client: &Client, base: &str) -> Option<Input> {
+    let request = client.get(format!("{base}{LOAD_PATH}")).timeout(TIMEOUT);
+    let mut response = request.send().await.ok()?;
+    let load: Load = response.json().await.ok()?;
+    Some(Input::Engine { incarnation: load.incarnation, prefill: load.queued_prefill })
+}
+
+/// A plain service has no incarnation: any answer shows that it is there.
+async fn reach(client: &Client, base: &str) -> Option<Input> {
+    let request = client.request(awc::http::Method::HEAD, format!("{base}/")).timeout(TIMEOUT);
+    request.send().await.ok()?;
+    Some(Input::Engine { incarnation: 1, prefill: 0 })
+}
--- /dev/null
+++ b/components/agent/src/run.rs
@@ -0,0 +1,94 @@
+//! Starts the agent's parts and stops them in order.
+
+use std::time::Duration;
+
+use actix::{Addr, AsyncContext};
+use daemon::ListenError;
+use tables::PoolKind;
+use telemetry::Metrics;
+use tokio::sync::oneshot;
+use wire::{Link, LinkError, Sender};
+
+use crate::backend;
+use crate::core::{Callees, Core, Inbound, Leave};
+use crate::meter::Meter;
+use crate::operations;
+use crate::settings::Settings;
+use crate::state::{Options, State};
+
+/// Threads that serve operators.
+const OPERATIONS_WORKERS: usize = 1;
+/// Time to let the last frames go out.
+const LAST_FLUSH: Duration = Duration::from_millis(200);
+
+/// Why an agent could not run.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The link address can't be used.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The operations address can't be used.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::MetricsError),
+}
+
+/// Runs an agent until `stop` completes, then drains it.
+///
+/// # Errors
+///
+/// If an address can't be used.
+pub async fn run(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), Error> {
+    let metrics = Metrics::new()?;
+    let core = start_core(&settings, &metrics)?;
+    let configure = operations::configure(core.clone(), metrics);
+    let operators =
+        daemon::serve(settings.operations, OPERATIONS_WORKERS, settings.drain, configure)?;
+    log::info!("agent {} stands before {}", settings.name, settings.backend);
+    stop.await;
+    drain(&settings, &core).await;
+    operators.stop(false).await;
+    log::info!("agent {} has stopped", settings.name);
+    Ok(())
+}
+
+fn start_core(settings: &Settings, metrics: &Metrics) -> Result<Addr<Core>, Error> {
+    let incarnation = daemon::incarnation();
+    let sender = Sender { name: settings.name.clone(), incarnation, link: settings.link.clone() };
+    let options = Options {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        pool: settings.pool.clone(),
+        incarnation,
+        limit: settings.limit,
+        cold: settings.kind == PoolKind::Model,
+        peers: settings.peers.clone(),
+        partitions: settings.partitions,
+        claims: settings.claims.clone(),
+    };
+    let callees = Callees {
+        backend: backend::client(),
+        base: settings.backend.clone(),
+        kind: settings.kind,
+        platform: platform::Client::new(settings.platform.clone(), settings.platform_timeout),
+        pool: settings.pool.clone(),
+        check: settings.check,
+    };
+    let context = actix::Context::<Core>::new();
+    let inbound = context.address();
+    let link = Link::open(sender, move |frame| inbound.do_send(Inbound(frame)))?;
+    let state = State::new(Duration::ZERO, options);
+    Ok(context.run(Core::new(state, link, Meter::new(metrics), callees)))
+}
+
+/// Refuses new work and waits until the open work is answered.
+async fn drain(settings: &Settings, core: &Addr<Core>) {
+    let (drained, wait) = oneshot::channel();
+    core.do_send(Leave { drained });
+    if actix_rt::time::timeout(settings.drain, wait).await.is_err() {
+        log::warn!("requests were still open after {:?}", settings.drain);
+    }
+    actix_rt::time::sleep(LAST_FLUSH).await;
+}
--- /dev/null
+++ b/components/agent/src/settings.rs
@@ -0,0 +1,101 @@
+//! Settings of the agent daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::settings::{Check, Fault, Reason};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tables::{Name, PoolKind};
+
+/// Settings of the agent daemon, read from JSON. Times are in milliseconds.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host, and of its backend server, in the platform's host list.
+    pub name: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Pool of the backend server.
+    pub pool: Name,
+    /// What the backend server is: `model` or `service`.
+    pub kind: PoolKind,
+    /// Base URL of the backend server.
+    pub backend: Name,
+    /// Address on which operators are served.
+    pub operations: SocketAddr,
+    /// Address on which frames are taken, `tcp://IP:PORT`.
+    pub link: Name,
+    /// Links of entries that are asked for tables at the start.
+    #[serde(default)]
+    pub peers: Vec<Name>,
+    /// Base URLs of the platform's object API.
+    pub platform: Vec<Name>,
+    /// Longest wait for a reply of the platform, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "platform_timeout_ms", default = "default_platform_timeout")]
+    pub platform_timeout: Duration,
+    /// Most requests that the backend server runs at once, until the pool's
+    /// row is known.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+    /// Number of partitions for claims; the same for all agents of the pool.
+    #[serde(default = "default_partitions")]
+    pub partitions: u32,
+    /// Limits and times of the claims.
+    #[serde(default)]
+    pub claims: claims::Settings,
+    /// Time between two looks at the backend server's load, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "check_ms", default = "default_check")]
+    pub check: Duration,
+    /// Longest time to finish requests when told to stop, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_ms", default = "default_drain")]
+    pub drain: Duration,
+}
+
+fn default_platform_timeout() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_limit() -> u32 {
+    16
+}
+
+fn default_partitions() -> u32 {
+    16
+}
+
+fn default_check() -> Duration {
+    Duration::from_millis(250)
+}
+
+fn default_drain() -> Duration {
+    Duration::from_secs(60)
+}
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let texts = [
+            ("/name", &self.name),
+            ("/zone", &self.zone),
+            ("/pool", &self.pool),
+            ("/backend", &self.backend),
+            ("/link", &self.link),
+        ];
+        for (pointer, text) in texts {
+            if text.is_empty() {
+                faults.push(Fault::new(pointer, Reason::Empty));
+            }
+        }
+        if self.platform.is_empty() {
+            faults.push(Fault::new("/platform", Reason::Empty));
+        }
+        faults.extend(Fault::outside("/limit", f64::from(self.limit), 1.0..=4096.0));
+        faults.extend(Fault::outside("/partitions", f64::from(self.partitions), 1.0..=1024.0));
+        faults
+    }
+}
--- /dev/null
+++ b/components/agent/src/storage.rs
@@ -0,0 +1,99 @@
+//! Calls to the platform for claims.
+
+use std::time::Duration;
+
+use claims::{Input, Object, Output};
+use platform::{Client, Error, Expect};
+use serde_json::Value;
+use tables::Name;
+
+/// Makes one call and returns what the ledger is to be told, if anything.
+pub async fn call(client: Client, pool: Name, output: Output) -> Option<Input> {
+    let kind = claims::kind(&pool);
+    match output {
+        Output::Load { call, partition } => {
+            let loaded = client.get(&kind, &claims::head_name(partition)).await;
+            Some(load(call, partition, loaded))
+        }
+        Output::LoadSegment { call, partition, name } => {
+            let loaded = client.get(&kind, &name).await;
+            Some(load_segment(call, partition, loaded))
+        }
+        Output::Store { call, partition, expect, value } => {
+            let expect = expect.map_or(Expect::Absent, Expect::Version);
+            let name = claims::head_name(partition);
+            let stored = client.put(&kind, &name, expect, &Value::String(value)).await;
+            Some(store(call, partition, stored))
+        }
+        Output::StoreSegment { call, partition, name, value } => {
+            let stored = client.put(&kind, &name, Expect::Absent, &Value::String(value)).await;
+            Some(match stored {
+                Ok(_) => Input::SegmentStored { call, partition },
+                Err(error) => failed(call, partition, error),
+            })
+        }
+        Output::DeleteSegment { name, .. } => {
+            delete(&client, &kind, &name).await;
+            None
+        }
+        Output::Grant { .. } | Output::Deny { .. } => None,
+    }
+}
+
+fn load(call: u64, partition: u32, loaded: Result<Option<platform::Object>, Error>) -> Input {
+    match loaded {
+        Ok(object) => {
+            let object =
+                object.map(|object| Object { version: object.version, value: text(object.value) });
+            Input::Loaded { call, partition, object }
+        }
+        Err(error) => failed(call, partition, error),
+    }
+}
+
+fn load_segment(
+    call: u64,
+    partition: u32,
+    loaded: Result<Option<platform::Object>, Error>,
+) -> Input {
+    match loaded {
+        Ok(object) => {
+            let value = object.map(|object| text(object.value));
+            Input::SegmentLoaded { call, partition, value }
+        }
+        Err(error) => failed(call, partition, error),
+    }
+}
+
+fn store(call: u64, partition: u32, stored: Result<u64, Error>) -> Input {
+    match stored {
+        Ok(version) => Input::Stored { call, partition, version },
+        Err(Error::Conflict { .. }) => Input::Conflict { call, partition },
+        Err(error) => failed(call, partition, error),
+    }
+}
+
+fn failed(call: u64, partition: u32, error: Error) -> Input {
+    match error {
+        Error::Busy { retry_after, .. } => Input::Busy { call, partition, retry_after },
+        _ => Input::Failed { call, partition },
+    }
+}
+
+fn text(value: Value) -> String {
+    match value {
+        Value::String(text) => text,
+        other => other.to_string(),
+    }
+}
+
+/// Time before a failed deletion is given up; the segment is then left behind.
+const DELETE_TIMEOUT: Duration = Duration::from_secs(5);
+
+async fn delete(client: &Client, kind: &str, name: &str) {
+    let deletion = async {
+        let object = client.get(kind, name).await.ok().flatten()?;
+        client.delete(kind, name, Expect::Version(object.version)).await.ok()
+    };
+    let _ = actix_rt::time::timeout(DELETE_TIMEOUT, deletion).await;
+}
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! What all daemons share: start, signals, HTTP servers and the way out.
+
+mod server;
+mod signal;
+mod start;
+
+pub use server::{ListenError, serve};
+pub use signal::stopped;
+pub use start::{Flags, start};
+
+/// Microseconds since the Unix epoch, as the incarnation of a process: it rises
+/// with each start on a host.
+///
+/// ```
+/// assert!(daemon::incarnation() > 1_700_000_000_000_000);
+/// ```
+pub fn incarnation() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(1, |since| since.as_micros() as u64)
+}
--- /dev/null
+++ b/components/daemon/src/start.rs
@@ -0,0 +1,54 @@
+//! From the command line to a running daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use serde::de::DeserializeOwned;
+use settings::Check;
+
+/// Exit code for a bad command line or bad settings.
+const BAD_INPUT: u8 = 2;
+/// Exit code for a daemon that could not run.
+const FAILED: u8 = 1;
+
+/// What a daemon's command line says.
+#[derive(Clone, Debug)]
+pub struct Flags {
+    /// The settings file.
+    pub settings: PathBuf,
+    /// Whether only to check the settings.
+    pub check: bool,
+}
+
+/// Loads the settings and runs the daemon, or only checks them.
+///
+/// Bad settings are shown with their places in the file and end the process
+/// with exit code 2 before anything is started.
+pub fn start<T, E, F>(flags: Flags, run: impl FnOnce(T) -> F) -> ExitCode
+where
+    T: DeserializeOwned + Check,
+    E: miette::Diagnostic + Send + Sync + 'static,
+    F: Future<Output = Result<(), E>>,
+{
+    let settings: T = match settings::load(&flags.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    if flags.check {
+        println!("{}: settings are good", flags.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = telemetry::init_log(telemetry::Level::Info) {
+        eprintln!("{error}");
+    }
+    match actix_rt::System::new().block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/core.rs
@@ -0,0 +1,251 @@
+//! The actor that holds the router, the links and the callers who wait.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use actix::{Actor, AsyncContext, Context, Handler, Message};
+use platform::Update;
+use routing::{Ask, Input, Output, Part, Router};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+use wire::{Frame, Link, RequestId};
+
+use crate::meter::Meter;
+
+/// Time between two ticks of the router.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two attempts to send what peers have not taken.
+const FLUSH: Duration = Duration::from_millis(2);
+/// Time between two updates of the metrics.
+const SHOW: Duration = Duration::from_millis(500);
+
+/// The actor.
+pub struct Core {
+    router: Router,
+    link: Link,
+    meter: Meter,
+    callers: HashMap<RequestId, Caller>,
+    started: Instant,
+    was_ready: bool,
+    retired: bool,
+    drained: Option<oneshot::Sender<()>>,
+}
+
+struct Caller {
+    parts: mpsc::UnboundedSender<Part>,
+    asked: Instant,
+    first: bool,
+}
+
+/// A caller asks; the parts of the answer go to `parts`.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Request {
+    /// What the caller asks.
+    pub ask: Ask,
+    /// Where the answer goes.
+    pub parts: mpsc::UnboundedSender<Part>,
+}
+
+/// A frame arrived.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Inbound(pub Frame);
+
+/// The platform has news.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct News(pub Update);
+
+/// The caller of a request hung up.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct HungUp(pub RequestId);
+
+/// The process will soon leave: it is not ready any more, but still serves.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Retire;
+
+/// The process leaves; `drained` hears when nothing is left.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave {
+    /// Told once.
+    pub drained: oneshot::Sender<()>,
+}
+
+/// Whether the entry may serve.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Ready;
+
+/// The state as JSON.
+#[derive(Message)]
+#[rtype(result = "Value")]
+pub struct Dump;
+
+/// Why a request went where it did.
+#[derive(Message)]
+#[rtype(result = "Option<Value>")]
+pub struct Explain(pub RequestId);
+
+impl Core {
+    /// An actor around a router.
+    pub fn new(router: Router, link: Link, meter: Meter) -> Core {
+        Core {
+            router,
+            link,
+            meter,
+            callers: HashMap::new(),
+            started: Instant::now(),
+            was_ready: false,
+            retired: false,
+            drained: None,
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let outputs = self.router.step(self.started.elapsed(), input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.link.flush(self.router.revision());
+        let ready = self.router.is_ready();
+        if ready != self.was_ready {
+            self.was_ready = ready;
+            log::info!("ready: {ready}, revision {}", self.router.revision());
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send(address, message) => {
+                if let Err(error) = self.link.push(&address, message) {
+                    log::warn!("{error}");
+                }
+            }
+            Output::Forget(address) => self.link.forget(&address),
+            Output::Answer(id, part) => self.answer(id, part),
+            Output::Drained => {
+                if let Some(drained) = self.drained.take() {
+                    let _ = drained.send(());
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, part: Part) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        if !caller.first {
+            caller.first = true;
+            self.meter.first(id, caller.asked.elapsed().as_secs_f64());
+        }
+        let over = matches!(part, Part::End | Part::Problem(_));
+        // The caller may have hung up; its guard says so by itself.
+        let _ = caller.parts.send(part);
+        if over {
+            self.callers.remove(&id);
+        }
+    }
+}
+
+impl Actor for Core {
+    type Context = Context<Core>;
+
+    fn started(&mut self, context: &mut Context<Core>) {
+        context.set_mailbox_capacity(1 << 16);
+        context.run_interval(TICK, |core, _| core.step(Input::Tick));
+        context.run_interval(FLUSH, |core, _| core.link.flush(core.router.revision()));
+        context.run_interval(SHOW, |core, _| {
+            let counters = core.router.counters();
+            core.meter.show(&counters, core.router.open(), core.router.revision());
+            core.meter.show_links(&core.link.counters());
+        });
+    }
+}
+
+impl Handler<Request> for Core {
+    type Result = ();
+
+    fn handle(&mut self, request: Request, _: &mut Context<Core>) {
+        let caller = Caller { parts: request.parts, asked: Instant::now(), first: false };
+        self.callers.insert(request.ask.id, caller);
+        self.step(Input::Ask(request.ask));
+    }
+}
+
+impl Handler<Inbound> for Core {
+    type Result = ();
+
+    fn handle(&mut self, inbound: Inbound, _: &mut Context<Core>) {
+        self.step(Input::Frame(inbound.0));
+    }
+}
+
+impl Handler<News> for Core {
+    type Result = ();
+
+    fn handle(&mut self, news: News, _: &mut Context<Core>) {
+        match news.0 {
+            Update::Listing { revision, rows, .. } => self.step(Input::Listing(revision, rows)),
+            Update::Delta { delta, .. } => self.step(Input::Delta(delta)),
+            Update::Hosts { revision, hosts } => self.step(Input::Hosts(revision, hosts)),
+            Update::Stale => log::warn!("the platform is silent; the tables may be old"),
+            Update::Fresh => log::info!("the platform is heard; the tables are up to date"),
+        }
+    }
+}
+
+impl Handler<HungUp> for Core {
+    type Result = ();
+
+    fn handle(&mut self, hung_up: HungUp, _: &mut Context<Core>) {
+        if self.callers.remove(&hung_up.0).is_some() {
+            self.step(Input::HungUp(hung_up.0));
+        }
+    }
+}
+
+impl Handler<Retire> for Core {
+    type Result = ();
+
+    fn handle(&mut self, _: Retire, _: &mut Context<Core>) {
+        self.retired = true;
+    }
+}
+
+impl Handler<Leave> for Core {
+    type Result = ();
+
+    fn handle(&mut self, leave: Leave, _: &mut Context<Core>) {
+        log::info!("leaving with {} requests open", self.router.open());
+        self.drained = Some(leave.drained);
+        self.step(Input::Leave);
+    }
+}
+
+impl Handler<Ready> for Core {
+    type Result = bool;
+
+    fn handle(&mut self, _: Ready, _: &mut Context<Core>) -> bool {
+        self.router.is_ready() && !self.retired
+    }
+}
+
+impl Handler<Dump> for Core {
+    type Result = actix::MessageResult<Dump>;
+
+    fn handle(&mut self, _: Dump, _: &mut Context<Core>) -> Self::Result {
+        actix::MessageResult(self.router.dump(self.started.elapsed()))
+    }
+}
+
+impl Handler<Explain> for Core {
+    type Result = actix::MessageResult<Explain>;
+
+    fn handle(&mut self, explain: Explain, _: &mut Context<Core>) -> Self::Result {
+        let steps = self.router.explain(&explain.0);
+        actix::MessageResult(steps.and_then(|steps| serde_json::to_value(steps).ok()))
+    }
+}
--- /dev/null
+++ b/components/entry/src/problem.rs
@@ -0,0 +1,69 @@
+//! Problems as callers get them: problem+json (RFC 9457) and an SSE event.
+
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use routing::problem::{Code, Problem};
+use serde::Serialize;
+use wire::{Ran, RequestId};
+
+/// Media type of a problem.
+const PROBLEM_TYPE: &str = "application/problem+json";
+/// Header that names the request, for `wisteria explain`.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
+/// The JSON of a problem.
+#[derive(Debug, Serialize)]
+struct Body {
+    title: String,
+    status: u16,
+    code: Code,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    request: RequestId,
+}
+
+fn body(id: RequestId, problem: &Problem) -> Body {
+    Body {
+        title: title(problem.code).to_owned(),
+        status: problem.status(),
+        code: problem.code,
+        ran: problem.ran,
+        retry_after_ms: problem.retry_after.map(|wait| wait.as_millis() as u64),
+        request: id,
+    }
+}
+
+/// The response for a problem.
+pub fn response(id: RequestId, problem: &Problem) -> HttpResponse {
+    let status =
+        StatusCode::from_u16(problem.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = HttpResponse::build(status);
+    builder.content_type(PROBLEM_TYPE);
+    builder.insert_header((REQUEST_HEADER, id.to_string()));
+    if let Some(wait) = problem.retry_after {
+        // The header counts whole seconds; less than one is told as one.
+        let seconds = wait.as_millis().div_ceil(1000).max(1);
+        builder.insert_header(("retry-after", seconds.to_string()));
+    }
+    builder.json(body(id, problem))
+}
+
+/// The last event of a stream that can't be completed.
+pub fn event(id: RequestId, problem: &Problem) -> String {
+    let json = serde_json::to_string(&body(id, problem)).unwrap_or_default();
+    format!("event: error\ndata: {json}\n\n")
+}
+
+fn title(code: Code) -> &'static str {
+    match code {
+        Code::Unauthorized => "no client account has this key",
+        Code::NoRoute => "no route takes this request",
+        Code::Malformed => "the request is malformed",
+        Code::TooLarge => "the request is too large",
+        Code::Deadline => "the deadline has passed",
+        Code::Overloaded => "too many requests are open",
+        Code::Leaving => "this entry is leaving",
+        Code::Refused(_) => "no backend server gave an answer",
+    }
+}
--- /dev/null
+++ b/components/entry/src/run.rs
@@ -0,0 +1,102 @@
+//! Starts the entry's parts and stops them in order.
+
+use actix::Addr;
+use actix_web::dev::ServerHandle;
+use actix_web::web;
+use daemon::ListenError;
+use routing::{Options, Router};
+use telemetry::Metrics;
+use tokio::sync::oneshot;
+use wire::{Link, LinkError, Sender};
+
+use crate::core::{Core, Inbound, Leave, News, Retire};
+use crate::http::{self, Shared};
+use crate::meter::Meter;
+use crate::operations;
+use crate::settings::Settings;
+
+/// Threads that serve operators.
+const OPERATIONS_WORKERS: usize = 1;
+
+/// Why an entry could not run.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The link address can't be used.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// An HTTP address can't be used.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::MetricsError),
+}
+
+/// Runs an entry until `stop` completes, then drains it.
+///
+/// # Errors
+///
+/// If an address can't be used.
+pub async fn run(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), Error> {
+    let metrics = Metrics::new()?;
+    let core = start_core(&settings, &metrics)?;
+    let news = core.clone();
+    let watch = platform::follow(
+        platform::Client::new(settings.platform.clone(), settings.platform_timeout),
+        settings.watch.clone(),
+        move |update| news.do_send(News(update)),
+    );
+    let watch = actix_rt::spawn(watch);
+    let configure = operations::configure(core.clone(), metrics);
+    let operators =
+        daemon::serve(settings.operations, OPERATIONS_WORKERS, settings.linger, configure)?;
+    let callers = serve_callers(&settings, core.clone())?;
+    log::info!("entry {} serves {} and {}", settings.name, settings.listen, settings.operations);
+    stop.await;
+    drain(&settings, &core).await;
+    callers.stop(true).await;
+    operators.stop(false).await;
+    watch.abort();
+    log::info!("entry {} has stopped", settings.name);
+    Ok(())
+}
+
+fn start_core(settings: &Settings, metrics: &Metrics) -> Result<Addr<Core>, Error> {
+    let sender = Sender {
+        name: settings.name.clone(),
+        incarnation: daemon::incarnation(),
+        link: settings.link.clone(),
+    };
+    let options = Options {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        link: settings.link.clone(),
+        peers: settings.peers.clone(),
+        seed: settings.seed,
+    };
+    let context = actix::Context::<Core>::new();
+    let inbound = actix::AsyncContext::address(&context);
+    let link = Link::open(sender, move |frame| inbound.do_send(Inbound(frame)))?;
+    let core = Core::new(Router::new(options), link, Meter::new(metrics));
+    Ok(context.run(core))
+}
+
+fn serve_callers(settings: &Settings, core: Addr<Core>) -> Result<ServerHandle, ListenError> {
+    let shared = web::Data::new(Shared { core, body_limit: settings.body_limit });
+    let configure = move |config: &mut web::ServiceConfig| {
+        config.app_data(shared.clone()).default_service(web::to(http::serve));
+    };
+    daemon::serve(settings.listen, settings.workers, settings.drain, configure)
+}
+
+/// Refuses new requests and waits until the open ones are answered.
+async fn drain(settings: &Settings, core: &Addr<Core>) {
+    let (drained, wait) = oneshot::channel();
+    core.do_send(Retire);
+    actix_rt::time::sleep(settings.linger).await;
+    core.do_send(Leave { drained });
+    let left = actix_rt::time::timeout(settings.drain, wait).await;
+    if left.is_err() {
+        log::warn!("requests were still open after {:?}", settings.drain);
+    }
+}
--- /dev/null
+++ b/components/entry/src/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of the entry daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::settings::{Check, Fault, Reason};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tables::Name;
+
+/// Settings of the entry daemon, read from JSON. Times are in milliseconds,
+/// sizes in bytes.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host in the platform's host list.
+    pub name: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Address on which callers are served.
+    pub listen: SocketAddr,
+    /// Address on which operators are served.
+    pub operations: SocketAddr,
+    /// Address on which frames are taken, `tcp://IP:PORT`.
+    pub link: Name,
+    /// Links of other entries that are asked for tables at the start.
+    #[serde(default)]
+    pub peers: Vec<Name>,
+    /// Base URLs of the platform's object API.
+    pub platform: Vec<Name>,
+    /// Longest wait for a reply of the platform, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "platform_timeout_ms", default = "default_platform_timeout")]
+    pub platform_timeout: Duration,
+    /// How the platform is watched.
+    #[serde(default)]
+    pub watch: platform::watch::Settings,
+    /// Largest body of a request, in bytes.
+    #[serde(default = "default_body_limit")]
+    pub body_limit: usize,
+    /// Threads that serve callers.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Time between being not ready and refusing new requests when told to
+    /// stop, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "linger_ms", default = "default_linger")]
+    pub linger: Duration,
+    /// Longest time to finish requests when told to stop, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_ms", default = "default_drain")]
+    pub drain: Duration,
+    /// Seed of the random choices.
+    #[serde(default)]
+    pub seed: u64,
+}
+
+fn default_platform_timeout() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_body_limit() -> usize {
+    1 << 20
+}
+
+fn default_workers() -> usize {
+    2
+}
+
+fn default_linger() -> Duration {
+    Duration::from_secs(1)
+}
+
+fn default_drain() -> Duration {
+    Duration::from_secs(60)
+}
+
+/// Largest body that a frame can carry beside its other fields, in bytes.
+const BODY_MOST: usize = 16 << 20;
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (pointer, text) in [("/name", &self.name), ("/zone", &self.zone), ("/link", &self.link)]
+        {
+            if text.is_empty() {
+                faults.push(Fault::new(pointer, Reason::Empty));
+            }
+        }
+        if self.platform.is_empty() {
+            faults.push(Fault::new("/platform", Reason::Empty));
+        }
+        if self.listen == self.operations {
+            faults.push(Fault::new("/operations", Reason::Conflict { other: "/listen".into() }));
+        }
+        faults.extend(Fault::outside(
+            "/body_limit",
+            self.body_limit as f64,
+            1.0..=BODY_MOST as f64,
+        ));
+        faults.extend(Fault::outside("/workers", self.workers as f64, 1.0..=64.0));
+        faults
+    }
+}
