--- /dev/null
+++ b/components/admission/src/gate/serve.rs
@@ -0,0 +1,84 @@
+//! What the backend server does with an attempt, passed on to its entry.
+
+use std::time::Duration;
+
+use wire::{Head, Message, Outcome, Ran, Reason};
+
+use super::{Event, Gate, Output, has_claim};
+use crate::attempt::{Attempt, Stage};
+
+impl Gate {
+    pub(super) fn event(
+        &mut self,
+        now: Duration,
+        ticket: u64,
+        event: Event,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(attempt) = self.attempt(ticket) else { return };
+        if attempt.stage != Stage::Running {
+            return;
+        }
+        let link = attempt.link.clone();
+        match event {
+            Event::Head { status, headers } => {
+                let (id, number) = (attempt.dispatch.id, attempt.dispatch.attempt);
+                let head = Head { id, attempt: number, status, headers };
+                attempt.head = Some(head.clone());
+                outputs.push(Output::Send(link, Message::Head(head)));
+            }
+            Event::Data { events, data } => {
+                attempt.first.get_or_insert(now);
+                let chunk = attempt.extend(events, data);
+                outputs.push(Output::Send(link, Message::Chunk(chunk)));
+            }
+            Event::Done => self.done(now, ticket, outputs),
+            Event::Failed { handed: false } => {
+                if has_claim(&attempt.dispatch) {
+                    outputs.push(Output::Abandon(ticket));
+                }
+                self.release(now, ticket, false);
+                self.refuse(now, ticket, Reason::Unreachable, Ran::NotRun, None, outputs);
+                outputs.push(Output::Check);
+            }
+            Event::Failed { handed: true } => {
+                attempt.stage = Stage::Checking;
+                attempt.ended = now;
+                self.counters.broken += 1;
+                outputs.push(Output::Check);
+            }
+        }
+    }
+
+    pub(super) fn done(&mut self, now: Duration, ticket: u64, outputs: &mut Vec<Output>) {
+        self.release(now, ticket, true);
+        self.counters.complete += 1;
+        let report = Message::Report(self.report(now));
+        let Some(attempt) = self.attempt(ticket) else { return };
+        attempt.stage = Stage::Done;
+        attempt.ended = now;
+        let end = attempt.end(Outcome::Complete);
+        attempt.last = Some(end.clone());
+        outputs.push(Output::Send(attempt.link.clone(), end));
+        outputs.push(Output::Send(attempt.link.clone(), report));
+        if has_claim(&attempt.dispatch) {
+            outputs.push(finish(attempt));
+        }
+        let fingerprint = attempt.dispatch.fingerprint;
+        if self.suspects.contains_key(&fingerprint) {
+            outputs.push(Output::Clear(fingerprint));
+        }
+    }
+}
+
+fn finish(attempt: &Attempt) -> Output {
+    let head = attempt.head.as_ref();
+    let body: Vec<u8> =
+        attempt.chunks.iter().flat_map(|chunk| chunk.data.iter().copied()).collect();
+    Output::Finish {
+        ticket: attempt.ticket,
+        status: head.map_or(200, |head| head.status),
+        headers: head.map(|head| head.headers.clone()).unwrap_or_default(),
+        body: body.into(),
+    }
+}
