Show one revision for the same rows

Cause: the platform counts changes of all kinds; with claims written all the time, processes with the same rows would show different revisions and ask one another for nothing. Conclusion: a table's revision is that of its last changed row.

--- a/components/routing/src/router/mod.rs
+++ b/components/routing/src/router/mod.rs
@@ -183,12 +183,12 @@
             Input::HungUp(id) => self.hung_up(now, id, &mut outputs),
             Input::Delta(delta) => {
                 self.platform_seen = true;
-                let changed = self.gossip.merge(delta);
+                let changed = self.gossip.watched(delta);
                 self.configured(changed);
             }
             Input::Listing(revision, rows) => {
                 self.platform_seen = true;
-                let changed = self.gossip.replace(revision, rows);
+                let changed = self.gossip.listed(revision, rows);
                 self.configured(changed);
             }
             Input::Hosts(revision, hosts) => self.update_hosts(revision, hosts, &mut outputs),
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -3,10 +3,10 @@
 //! Each frame carries its sender's table revision. A process that sees a
 //! higher one than its own asks that peer for the rows since its own.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use tables::{Delta, Name, Table};
+use tables::{Delta, Key, Name, Row, Table};
 
 use crate::Message;
 
@@ -57,13 +57,35 @@
         self.table.delta(since)
     }
 
-    /// Takes in rows from a peer or the platform. Returns whether any changed.
+    /// Takes in rows from a peer. Returns whether any changed.
     pub fn merge(&mut self, delta: Delta) -> bool {
         self.table.merge(delta)
     }
 
+    /// Takes in rows from the process's own watch of the platform, which has
+    /// no gaps.
+    ///
+    /// The platform counts changes of all kinds of objects. The table's own
+    /// revision is that of its last changed row, so that processes with the
+    /// same rows show the same revision and don't ask one another for nothing.
+    pub fn watched(&mut self, delta: Delta) -> bool {
+        let since = delta.since.min(self.table.revision());
+        let revision = newest(&delta.rows).max(since);
+        self.table.merge(Delta { since, revision, rows: delta.rows })
+    }
+
     /// Takes in a complete listing from the platform.
-    pub fn replace(&mut self, revision: u64, rows: Vec<(tables::Key, tables::Row)>) -> bool {
+    pub fn listed(&mut self, revision: u64, rows: Vec<(Key, Row)>) -> bool {
+        let known = self.table.content();
+        let listed: BTreeSet<&Key> = rows.iter().map(|(key, _)| key).collect();
+        if known.keys().all(|key| listed.contains(key)) {
+            let revision = newest(&rows);
+            return self.table.merge(Delta { since: 0, revision, rows });
+        }
         self.table.replace(revision, rows)
     }
 }
+
+fn newest(rows: &[(Key, Row)]) -> u64 {
+    rows.iter().map(|(_, row)| row.version).max().unwrap_or(0)
+}
--- /dev/null
+++ b/tests/src/port.rs
@@ -0,0 +1,26 @@
+//! Ports below the system's own ephemeral range, so that no outgoing
+//! connection takes one between its choice and its use.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// First port that is given out.
+const FIRST: u32 = 10_000;
+/// Number of ports that are given out.
+const COUNT: u32 = 20_000;
+/// Ports between the starts of two test processes.
+const STRIDE: u32 = 97;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that nobody listens on.
+pub fn free() -> SocketAddr {
+    let start = std::process::id().wrapping_mul(STRIDE);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,85 @@
+//! A daemon as a real process.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+/// A running daemon; killed when dropped.
+pub struct Process {
+    child: Child,
+    /// Its settings file.
+    pub settings: PathBuf,
+}
+
+/// The directory of the built programs.
+pub fn programs() -> PathBuf {
+    let test = std::env::current_exe().expect("the test's own path");
+    test.ancestors().nth(2).expect("the target directory").to_path_buf()
+}
+
+/// A directory for the files of one test process.
+fn scratch() -> PathBuf {
+    let path = programs().join("system-tests").join(std::process::id().to_string());
+    std::fs::create_dir_all(&path).expect("a scratch directory");
+    path
+}
+
+impl Process {
+    /// Starts a program with settings written to a file named `name`.
+    pub fn start(program: &[&str], name: &str, settings: &impl Serialize) -> Process {
+        let file = scratch().join(format!("{name}.json"));
+        let text = serde_json::to_string_pretty(settings).expect("settings as JSON");
+        std::fs::write(&file, text).expect("a settings file");
+        Process::start_file(program, &file)
+    }
+
+    /// Starts a program with a settings file.
+    pub fn start_file(program: &[&str], file: &Path) -> Process {
+        let log = file.with_extension("log");
+        let log = std::fs::File::create(scratch().join(log.file_name().expect("a file name")))
+            .expect("a log file");
+        let child = Command::new(programs().join(program[0]))
+            .args(&program[1..])
+            .arg("--settings")
+            .arg(file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts; build the workspace first");
+        Process { child, settings: file.to_path_buf() }
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP`, `CONT` or `KILL`.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &id]).status();
+        assert!(sent.expect("kill runs").success(), "signal {signal} to {id}");
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+                return Some(status);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
