Keep a warming backend server within what it can carry

Now the limit halves every 2.5 s without evidence, grows by a tenth a window, falls by half on a cold latency, lets the base latency follow rather than take the least mean, and starts over when even the cold limit is slow.

--- a/components/admission/src/limit.rs
+++ b/components/admission/src/limit.rs
@@ -16,26 +16,30 @@
 /// First-token latency taken as healthy while nothing better is known.
 pub const HEALTHY: Duration = Duration::from_millis(250);
 /// Multiple of the base latency up to which a mean latency is healthy.
-pub const HEALTHY_FACTOR: f64 = 1.7;
+pub const HEALTHY_FACTOR: f64 = 1.4;
 /// Multiple of the base latency from which on a mean latency says overload.
 pub const OVERLOAD_FACTOR: f64 = 2.0;
 /// Multiple of the base latency from which on a single latency says cold.
 pub const COLD_FACTOR: f64 = 3.0;
 /// Successive cold latencies or failures that make a backend server cold.
 pub const COLD_EVIDENCE: u32 = 3;
-/// Share of the limit kept after an overload.
-pub const DECREASE: f64 = 0.8;
+/// Least share of the limit kept after an overload.
+pub const DECREASE: f64 = 0.5;
 /// Growth of the limit for one healthy window.
-pub const GROWTH: f64 = 0.25;
+pub const GROWTH: f64 = 0.1;
 /// Fewest first tokens of a window.
 pub const WINDOW: u32 = 4;
 /// First tokens of a window, as a divisor of the limit.
 pub const WINDOW_SHARE: u32 = 2;
 /// Time without evidence after which the limit halves, again and again.
-pub const IDLE: Duration = Duration::from_secs(5);
-/// Time in which the base latency doubles while a backend server stays at the
-/// cold limit, lest one lucky window hold it there for ever.
+pub const IDLE: Duration = Duration::from_millis(2500);
+/// Part of the way that the base latency goes down to a lower mean.
+pub const LEARNING: f64 = 0.3;
+/// Time in which the base latency doubles while the limit is below half of the
+/// most, lest lucky windows hold it there for ever.
 pub const DRIFT: Duration = Duration::from_secs(60);
+/// Longest gap in the evidence through which the base latency rises.
+pub const DRIFT_STEP: Duration = Duration::from_secs(1);
 /// Requests that may wait for their first token, as a divisor of the limit.
 pub const PENDING_SHARE: u32 = 16;
 
@@ -120,7 +124,7 @@
         self.bad = 0;
         self.window.add(latency, running);
         if self.window.count >= (self.limit as u32 / WINDOW_SHARE).max(WINDOW) {
-            self.judge();
+            self.judge(now);
         }
     }
 
@@ -128,6 +132,7 @@
     pub fn restart(&mut self, now: Duration) {
         self.limit = self.least();
         self.proven = self.limit;
+        self.base = None;
         self.cold = true;
         self.bad = 0;
         self.window = Window::default();
@@ -143,13 +148,17 @@
     }
 
     /// Ends a window: learns from it, and moves the limit.
-    fn judge(&mut self) {
+    fn judge(&mut self, now: Duration) {
         let window = std::mem::take(&mut self.window);
         let mean = window.sum / f64::from(window.count);
-        self.base = Some(self.base.map_or(mean, |base| base.min(mean)));
+        let base = self.base.unwrap_or(mean);
+        self.base = Some(base - (base - mean).max(0.0) * LEARNING);
         let ratio = mean / self.base();
-        if ratio > OVERLOAD_FACTOR {
-            self.decrease();
+        if ratio > HEALTHY_FACTOR && self.limit <= self.least() {
+            // Slow under the lightest load: it turned cold.
+            self.restart(now);
+        } else if ratio > OVERLOAD_FACTOR {
+            self.decrease((HEALTHY_FACTOR / ratio).max(DECREASE));
         } else if ratio <= HEALTHY_FACTOR && f64::from(window.running) >= self.limit.floor() * 0.5 {
             self.grow((HEALTHY_FACTOR - ratio) / (HEALTHY_FACTOR - 1.0));
         }
@@ -167,8 +176,8 @@
         self.cold = self.cold && self.limit < self.most * 0.5;
     }
 
-    fn decrease(&mut self) {
-        self.limit = (self.limit * DECREASE).max(self.least());
+    fn decrease(&mut self, share: f64) {
+        self.limit = (self.limit * share).max(self.least());
         self.proven = self.limit;
         self.window = Window::default();
     }
@@ -178,12 +187,12 @@
         if self.bad >= COLD_EVIDENCE {
             return self.restart(now);
         }
-        self.decrease();
+        self.decrease(DECREASE);
     }
 
     fn drift(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        if self.limit > self.least() {
+        let passed = now.saturating_sub(self.at).min(DRIFT_STEP).as_secs_f64();
+        if self.limit >= self.most * 0.5 {
             return;
         }
         self.base = self.base.map(|base| base * 2f64.powf(passed / DRIFT.as_secs_f64()));
