--- a/components/tables/src/check.rs
+++ b/components/tables/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::row::Content;
-use crate::{Account, Body, Error, Fault, Key, Name, Pool, Route};
+use crate::{Account, Body, Error, Fault, Key, Kind, Name, Pool, PoolKind, Route};
 
 /// Largest value that the platform holds, in bytes.
 const VALUE_LIMIT: usize = 1 << 20;
@@ -53,12 +53,7 @@
     if route.pools.is_empty() {
         faults.push(Fault::NoPool { route: key.name.clone() });
     }
-    for pool in &route.pools {
-        let pool_key = Key { kind: crate::Kind::Pool, name: pool.clone() };
-        if !content.contains_key(&pool_key) {
-            faults.push(Fault::UnknownPool { route: key.name.clone(), pool: pool.clone() });
-        }
-    }
+    check_route_pools(key, route, content, faults);
     if !route.path.starts_with('/') {
         range(key, "path", "a path that starts with /", faults);
     }
@@ -67,6 +62,26 @@
     }
 }
 
+fn check_route_pools(key: &Key, route: &Route, content: &Content, faults: &mut Vec<Fault>) {
+    // The first pool says what the others must be, unless the route names a model.
+    let mut expected = route.model.as_ref().map(|_| PoolKind::Model);
+    for (index, pool) in route.pools.iter().enumerate() {
+        let fault = |fault: fn(Name, Name) -> Fault| fault(key.name.clone(), pool.clone());
+        if route.pools[..index].contains(pool) {
+            faults.push(fault(|route, pool| Fault::SamePool { route, pool }));
+            continue;
+        }
+        let pool_key = Key { kind: Kind::Pool, name: pool.clone() };
+        let Some(Body::Pool(body)) = content.get(&pool_key) else {
+            faults.push(fault(|route, pool| Fault::UnknownPool { route, pool }));
+            continue;
+        };
+        if *expected.get_or_insert(body.kind) != body.kind {
+            faults.push(fault(|route, pool| Fault::PoolKind { route, pool }));
+        }
+    }
+}
+
 fn check_pool(key: &Key, pool: &Pool, faults: &mut Vec<Fault>) {
     if pool.limit == 0 {
         range(key, "limit", "at least 1", faults);
--- a/components/tables/src/error.rs
+++ b/components/tables/src/error.rs
@@ -61,6 +61,22 @@
         /// The account at fault.
         account: Name,
     },
+    /// A route names a pool more than once.
+    #[error("route {route}: names pool {pool} more than once")]
+    SamePool {
+        /// The route at fault.
+        route: Name,
+        /// The pool it names.
+        pool: Name,
+    },
+    /// A route names a pool whose backend servers can't serve it.
+    #[error("route {route}: pool {pool} is of another kind than the route needs")]
+    PoolKind {
+        /// The route at fault.
+        route: Name,
+        /// The pool it names.
+        pool: Name,
+    },
     /// Two accounts have the same bearer key.
     #[error("accounts {first} and {second}: same bearer key")]
     SameKey {
@@ -71,6 +87,48 @@
     },
 }
 
+impl Fault {
+    /// The row at fault; the second of two that clash.
+    ///
+    /// ```
+    /// let fault = tables::Fault::NoPool { route: "fit".into() };
+    /// assert_eq!(fault.key().name, "fit");
+    /// ```
+    pub fn key(&self) -> Key {
+        let key = |kind, name: &Name| Key { kind, name: name.clone() };
+        match self {
+            Fault::UnknownPool { route, .. }
+            | Fault::NoPool { route }
+            | Fault::SamePool { route, .. }
+            | Fault::PoolKind { route, .. } => key(Kind::Route, route),
+            Fault::SameMatch { second, .. } => key(Kind::Route, second),
+            Fault::KeyHash { account } => key(Kind::Account, account),
+            Fault::SameKey { second, .. } => key(Kind::Account, second),
+            Fault::Range { key, .. } | Fault::Size { key, .. } => key.clone(),
+            Fault::Name { kind, name } => key(*kind, name),
+        }
+    }
+
+    /// The field at fault, if it is one field of the row.
+    ///
+    /// ```
+    /// let fault = tables::Fault::NoPool { route: "fit".into() };
+    /// assert_eq!(fault.field(), Some("pools"));
+    /// ```
+    pub fn field(&self) -> Option<&'static str> {
+        match self {
+            Fault::UnknownPool { .. }
+            | Fault::NoPool { .. }
+            | Fault::SamePool { .. }
+            | Fault::PoolKind { .. } => Some("pools"),
+            Fault::SameMatch { .. } => Some("path"),
+            Fault::KeyHash { .. } | Fault::SameKey { .. } => Some("key_sha256"),
+            Fault::Range { field, .. } => Some(field),
+            Fault::Size { .. } | Fault::Name { .. } => None,
+        }
+    }
+}
+
 /// All faults of a set of tables.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{} faults in the tables", faults.len())]
