Prove the thin path: a streamed chat and a booking through real processes

Cause: the parts had not run together. Ruled out: ports from the system's ephemeral range, which an outgoing connection may take between choice and use.

--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,288 @@
+//! A small system on loopback: the daemons as real processes, the stand-ins
+//! for the outside world in the test's own process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lab::{engine, platform, service};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tables::host::{Role, State};
+use tables::{Host, Name};
+
+use crate::port;
+use crate::process::Process;
+
+/// Bearer key of the accounts' only caller.
+pub const KEY: &str = "secret-of-the-fitters";
+/// Longest wait for the system to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// An entry daemon and its addresses.
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub operations: SocketAddr,
+    settings: Value,
+}
+
+/// An agent daemon and its addresses.
+pub struct Agent {
+    /// The process.
+    pub process: Process,
+    /// Its availability zone.
+    pub zone: &'static str,
+    /// Address for operators.
+    pub operations: SocketAddr,
+    settings: Value,
+}
+
+/// The whole system.
+pub struct Cluster {
+    /// The stand-in for the platform.
+    pub platform: platform::Handle,
+    /// The stand-in engines, by the names of their backend servers.
+    pub engines: BTreeMap<&'static str, lab::Handle>,
+    /// The stand-in services, by the names of their backend servers.
+    pub services: BTreeMap<&'static str, service::Service>,
+    /// The entries by name.
+    pub entries: BTreeMap<&'static str, Entry>,
+    /// The agents by name.
+    pub agents: BTreeMap<&'static str, Agent>,
+}
+
+/// What to start.
+#[derive(Clone)]
+pub struct Plan {
+    /// Names of the entries.
+    pub entries: Vec<&'static str>,
+    /// Names and availability zones of the model engines.
+    pub engines: Vec<(&'static str, &'static str)>,
+    /// Names and availability zones of the plain services.
+    pub services: Vec<(&'static str, &'static str)>,
+    /// How the engines behave.
+    pub engine: engine::Settings,
+    /// How the services behave.
+    pub service: service::Settings,
+    /// How the platform behaves.
+    pub platform: platform::Settings,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            entries: vec!["entry-1"],
+            engines: vec![("engine-1", "accra-1")],
+            services: vec![("service-1", "accra-1")],
+            engine: engine::Settings::default(),
+            service: service::Settings::default(),
+            platform: platform::Settings::default(),
+        }
+    }
+}
+
+impl Cluster {
+    /// Starts everything and waits until all daemons are ready.
+    pub async fn start(plan: Plan) -> Cluster {
+        let links: BTreeMap<&str, Name> =
+            names(&plan).into_iter().map(|name| (name, link(port::free()))).collect();
+        let mut settings = plan.platform.clone();
+        settings.objects = tables();
+        settings.hosts = hosts(&plan, &links);
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = platform::serve(listen, settings).expect("the platform starts");
+        let mut cluster = Cluster {
+            platform,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            agents: BTreeMap::new(),
+        };
+        let entry_links: Vec<Name> = plan.entries.iter().map(|name| links[name].clone()).collect();
+        for name in &plan.entries {
+            cluster.add_entry(name, &links[name], &entry_links);
+        }
+        for (name, zone) in &plan.engines {
+            let handle = engine::serve(plan.engine.clone()).expect("an engine starts");
+            cluster.add_agent(
+                name,
+                zone,
+                "chat",
+                "model",
+                &handle.to_url(),
+                &links[name],
+                &entry_links,
+            );
+            cluster.engines.insert(name, handle);
+        }
+        for (name, zone) in &plan.services {
+            let handle = service::serve(plan.service.clone()).expect("a service starts");
+            cluster.add_agent(
+                name,
+                zone,
+                "booking",
+                "service",
+                &handle.handle.to_url(),
+                &links[name],
+                &entry_links,
+            );
+            cluster.services.insert(name, handle);
+        }
+        cluster.wait_until_ready().await;
+        cluster
+    }
+
+    /// URL for callers of an entry.
+    pub fn url(&self, entry: &str) -> String {
+        format!("http://{}", self.entries[entry].listen)
+    }
+
+    /// Starts a daemon again that was killed or has stopped.
+    pub fn restart_entry(&mut self, name: &'static str) {
+        let Some(entry) = self.entries.get_mut(name) else { panic!("no entry {name}") };
+        entry.process = Process::start(&["wisteria-entry"], name, &entry.settings);
+    }
+
+    /// Starts an agent again that was killed or has stopped.
+    pub fn restart_agent(&mut self, name: &'static str) {
+        let Some(agent) = self.agents.get_mut(name) else { panic!("no agent {name}") };
+        agent.process = Process::start(&["wisteria-agent"], name, &agent.settings);
+    }
+
+    /// Waits until each daemon says that it is ready, and each entry has heard
+    /// all agents.
+    pub async fn wait_until_ready(&self) {
+        for entry in self.entries.values() {
+            wait_for_ready(entry.operations).await;
+        }
+        for agent in self.agents.values() {
+            wait_for_ready(agent.operations).await;
+        }
+        for entry in self.entries.values() {
+            let agents = self.agents.len();
+            wait_for("all agents heard", || async {
+                let dump = dump(entry.operations).await?;
+                let members = dump["members"].as_array()?;
+                let heard = members.iter().filter(|member| member["report"].is_object()).count();
+                (heard == agents).then_some(())
+            })
+            .await;
+        }
+    }
+
+    fn add_entry(&mut self, name: &'static str, link: &Name, peers: &[Name]) {
+        let (listen, operations) = (port::free(), port::free());
+        let settings = json!({
+            "name": name, "zone": "accra-1", "listen": listen, "operations": operations,
+            "link": link, "peers": peers, "platform": [self.platform.url()],
+            "watch": {"interval_ms": 200, "hosts_interval_ms": 500, "backoff_max_ms": 500},
+            "linger_ms": 200, "drain_ms": 20_000,
+        });
+        let process = Process::start(&["wisteria-entry"], name, &settings);
+        self.entries.insert(name, Entry { process, listen, operations, settings });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn add_agent(
+        &mut self,
+        name: &'static str,
+        zone: &'static str,
+        pool: &str,
+        kind: &str,
+        backend: &str,
+        link: &Name,
+        peers: &[Name],
+    ) {
+        let operations = port::free();
+        let settings = json!({
+            "name": name, "zone": zone, "pool": pool, "kind": kind,
+            "backend": backend, "operations": operations, "link": link,
+            "peers": peers, "platform": [self.platform.url()], "check_ms": 100,
+            "platform_timeout_ms": 500, "drain_ms": 20_000,
+        });
+        let process = Process::start(&["wisteria-agent"], name, &settings);
+        self.agents.insert(name, Agent { process, zone, operations, settings });
+    }
+}
+
+fn names(plan: &Plan) -> Vec<&'static str> {
+    let servers = plan.engines.iter().chain(&plan.services).map(|(name, _)| *name);
+    plan.entries.iter().copied().chain(servers).collect()
+}
+
+fn link(address: SocketAddr) -> Name {
+    format!("tcp://{address}").into()
+}
+
+fn hosts(plan: &Plan, links: &BTreeMap<&str, Name>) -> Vec<Host> {
+    let host = |name: &str, role, zone: &str, pool: Option<&str>| Host {
+        name: name.into(),
+        role,
+        zone: zone.into(),
+        link: links[name].clone(),
+        pool: pool.map(Name::from),
+        state: State::Live,
+    };
+    let entries = plan.entries.iter().map(|name| host(name, Role::Entry, "accra-1", None));
+    let engines =
+        plan.engines.iter().map(|(name, zone)| host(name, Role::Server, zone, Some("chat")));
+    let services =
+        plan.services.iter().map(|(name, zone)| host(name, Role::Server, zone, Some("booking")));
+    entries.chain(engines).chain(services).collect()
+}
+
+/// The tables: a route and a pool for chats, for bookings and for lookups.
+fn tables() -> BTreeMap<Name, BTreeMap<Name, Value>> {
+    let hash = format!("{:x}", Sha256::digest(KEY.as_bytes()));
+    let tables = json!({
+        "route": {
+            "chat": {"path": "/v1/chat/completions", "model": "fitter", "pools": ["chat"],
+                     "idempotent": true, "timeout_ms": 20_000},
+            "book": {"path": "/book", "pools": ["booking"], "idempotent": false,
+                     "timeout_ms": 10_000},
+            "free": {"path": "/free", "pools": ["booking"], "idempotent": true,
+                     "timeout_ms": 10_000},
+        },
+        "pool": {
+            "chat": {"kind": "model", "limit": 16},
+            "booking": {"kind": "service", "limit": 16},
+        },
+        "account": {"fitters": {"key_sha256": hash, "weight": 1}},
+    });
+    serde_json::from_value(tables).expect("tables by kind and name")
+}
+
+async fn wait_for_ready(operations: SocketAddr) {
+    let url = format!("http://{operations}/readyz");
+    wait_for("readiness", || async {
+        let response = awc::Client::default().get(&url).send().await.ok()?;
+        response.status().is_success().then_some(())
+    })
+    .await;
+}
+
+/// The state of a daemon, if it answers.
+pub async fn dump(operations: SocketAddr) -> Option<Value> {
+    let url = format!("http://{operations}/dump");
+    let mut response = awc::Client::default().get(url).send().await.ok()?;
+    response.json().limit(4 << 20).await.ok()
+}
+
+/// Asks until there is an answer, for a generous time.
+pub async fn wait_for<T, F>(what: &str, ask: impl Fn() -> F) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let started = std::time::Instant::now();
+    while started.elapsed() < READY_LIMIT {
+        if let Some(answer) = ask().await {
+            return answer;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no {what} within {READY_LIMIT:?}");
+}
