Tell requests that crash servers by evidence in the platform

Cause: a request that crashes every server that runs it comes again and again. Ways: evidence per entry (forgotten with it), per agent (dies with it), rows in the platform with conditional changes, spread as the tables are: taken. Two crashes make a suspect run alone under one trial in the whole fleet, a crash in the trial condemns it, an end clears it.

--- a/components/admission/src/gate/admit.rs
+++ b/components/admission/src/gate/admit.rs
@@ -5,7 +5,7 @@
 use wire::{Cancel, Ran, Reason};
 
 use super::record::claim;
-use super::{Gate, Output, RETRY_AFTER};
+use super::{Gate, Output, RETRY_AFTER, Standing};
 use crate::attempt::{Attempt, Stage};
 
 /// How long a finished attempt is kept after its deadline, unless acknowledged.
@@ -85,7 +85,24 @@
         }
     }
 
+    fn standing(&mut self, ticket: u64) -> Option<Standing> {
+        let fingerprint = self.attempt(ticket)?.dispatch.fingerprint;
+        self.suspects.get(&fingerprint).copied()
+    }
+
     pub(super) fn start(&mut self, now: Duration, ticket: u64, outputs: &mut Vec<Output>) {
+        // Evidence may have come while the attempt waited.
+        match self.standing(ticket) {
+            Some(Standing::Condemned) => {
+                self.refuse(now, ticket, Reason::Poison, Ran::NotRun, None, outputs);
+                return;
+            }
+            Some(Standing::Alone) => {
+                self.alone.push_back(ticket);
+                return;
+            }
+            _ => {}
+        }
         self.active.push(ticket);
         let Some(attempt) = self.attempt(ticket) else { return };
         match claim(attempt) {
--- a/components/admission/src/gate/message.rs
+++ b/components/admission/src/gate/message.rs
@@ -11,6 +11,8 @@
 /// Whether a request may run, by the evidence of crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
+    /// It may run as any other; if it ends whole it is cleared.
+    Watched,
     /// It may run, with no other request beside it.
     Alone,
     /// It must not run anywhere.
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod limit;
 pub mod queue;
 mod seen;
+pub mod suspect;
 
 pub use gate::Gate;
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -112,14 +112,13 @@
             }
             Effect::Check => self.check(context),
             Effect::Claims(output) => {
-                let call =
-                    storage::call(self.callees.platform.clone(), self.callees.pool.clone(), output);
-                let core = context.address();
-                actix_rt::spawn(async move {
-                    if let Some(input) = call.await {
-                        core.do_send(News(Input::Claims(input)));
-                    }
-                });
+                let client = self.callees.platform.clone();
+                let call = storage::claim(client, self.callees.pool.clone(), output);
+                report(context.address(), async { call.await.map(Input::Claims) });
+            }
+            Effect::Suspect(output) => {
+                let call = storage::suspect(self.callees.platform.clone(), output);
+                report(context.address(), async { call.await.map(Input::Suspect) });
             }
             Effect::Drained => {
                 if let Some(drained) = self.drained.take() {
@@ -145,6 +144,15 @@
     }
 }
 
+/// Tells the actor what a call comes to.
+fn report(core: actix::Addr<Core>, call: impl Future<Output = Option<Input>> + 'static) {
+    actix_rt::spawn(async move {
+        if let Some(input) = call.await {
+            core.do_send(News(input));
+        }
+    });
+}
+
 impl Actor for Core {
     type Context = Context<Core>;
 
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -9,6 +9,7 @@
 
 use admission::Gate;
 use admission::gate::{self, Event, Verdict};
+use admission::suspect::{self, Register};
 use claims::{Answer, Denial, Ledger};
 use serde_json::{Value, json};
 use tables::Name;
@@ -32,6 +33,8 @@
     Unreachable,
     /// A call to the platform for a claim came back.
     Claims(claims::Input),
+    /// A call to the platform for a suspect came back.
+    Suspect(suspect::Input),
     /// The process has been told to stop.
     Leave,
     /// Time has passed.
@@ -51,6 +54,8 @@
     Check,
     /// Call the platform for a claim.
     Claims(claims::Output),
+    /// Call the platform for a suspect.
+    Suspect(suspect::Output),
     /// The process is leaving and nothing is left to do.
     Drained,
 }
@@ -83,6 +88,7 @@
     options: Options,
     gate: Gate,
     ledger: Ledger,
+    register: Register,
     gossip: Gossip,
     out: bool,
     asked: Option<Duration>,
@@ -99,13 +105,14 @@
             limit: options.limit,
             cold: options.cold,
         };
+        let register = Register::new(format!("{}/{}", options.name, options.incarnation).into());
         let writer =
             claims::Writer { name: options.name.clone(), incarnation: options.incarnation };
         let ledger =
             Ledger::new(writer, options.pool.clone(), options.partitions, options.claims.clone());
         let mut gate = Gate::new(now, gate);
         gate.step(now, gate::Input::Out(true));
-        State { options, gate, ledger, gossip: Gossip::default(), out: true, asked: None }
+        State { options, gate, ledger, register, gossip: Gossip::default(), out: true, asked: None }
     }
 
     /// Takes one input and says what to do. `wall` is the time since the Unix
@@ -121,6 +128,7 @@
             }
             Input::Unreachable => work.push_back(gate::Input::Unreachable),
             Input::Claims(input) => self.claim(now, input, &mut work, &mut effects),
+            Input::Suspect(input) => self.suspect(now, input, &mut work, &mut effects),
             Input::Leave => work.push_back(gate::Input::Leave),
             Input::Tick => {
                 self.ask_peers(now, &mut effects);
@@ -167,6 +175,7 @@
             "out": self.out,
             "gate": self.gate.dump(now),
             "claims": self.ledger.dump(),
+            "suspect_changes_waiting": self.register.waiting(),
         })
     }
 
@@ -210,7 +219,9 @@
         let table = self.gossip.table();
         let out = table.is_zone_out(&self.options.zone) || table.is_server_out(&self.options.name);
         self.out = out;
+        let suspects = suspect::standings(table);
         work.push_back(gate::Input::Out(out));
+        work.push_back(gate::Input::Suspects(suspects));
     }
 
     fn ask_peers(&mut self, now: Duration, effects: &mut Vec<Effect>) {
@@ -252,11 +263,33 @@
             gate::Output::Abandon(ticket) => {
                 self.claim(now, claims::Input::Abandon { ticket }, work, effects);
             }
-            // Trials of suspects are not recorded yet: the suspect runs alone.
-            gate::Output::Trial { ticket, .. } => {
-                work.push_back(gate::Input::Verdict(ticket, Verdict::Grant));
+            gate::Output::Trial { ticket, fingerprint } => {
+                let trial = suspect::Input::Trial { ticket, fingerprint };
+                self.suspect(now, trial, work, effects);
+            }
+            gate::Output::Crash(fingerprints) => {
+                self.suspect(now, suspect::Input::Crash(fingerprints), work, effects);
+            }
+            gate::Output::Clear(fingerprint) => {
+                self.suspect(now, suspect::Input::Clear(fingerprint), work, effects);
+            }
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        now: Duration,
+        input: suspect::Input,
+        work: &mut VecDeque<gate::Input>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for output in self.register.step(now, input) {
+            match output {
+                suspect::Output::Verdict(ticket, verdict) => {
+                    work.push_back(gate::Input::Verdict(ticket, verdict));
+                }
+                call => effects.push(Effect::Suspect(call)),
             }
-            gate::Output::Crash(_) | gate::Output::Clear(_) => {}
         }
     }
 
--- a/components/agent/src/storage.rs
+++ b/components/agent/src/storage.rs
@@ -1,14 +1,15 @@
-//! Calls to the platform for claims.
+//! Calls to the platform for claims and suspects.
 
 use std::time::Duration;
 
+use admission::suspect;
 use claims::{Input, Object, Output};
 use platform::{Client, Error, Expect};
 use serde_json::Value;
-use tables::Name;
+use tables::{Kind, Name, Suspect};
 
 /// Makes one call and returns what the ledger is to be told, if anything.
-pub async fn call(client: Client, pool: Name, output: Output) -> Option<Input> {
+pub async fn claim(client: Client, pool: Name, output: Output) -> Option<Input> {
     let kind = claims::kind(&pool);
     match output {
         Output::Load { call, partition } => {
@@ -97,3 +98,32 @@
     };
     let _ = actix_rt::time::timeout(DELETE_TIMEOUT, deletion).await;
 }
+
+/// Makes one call for a suspect and returns what the register is to be told.
+pub async fn suspect(client: Client, output: suspect::Output) -> Option<suspect::Input> {
+    let kind = Kind::Suspect.as_str();
+    match output {
+        suspect::Output::Load(fingerprint) => {
+            let loaded = client.get(kind, &suspect::row_name(fingerprint)).await;
+            Some(loaded.map_or(suspect::Input::Failed(fingerprint), |object| {
+                suspect::Input::Loaded(fingerprint, object.map(row))
+            }))
+        }
+        suspect::Output::Store(fingerprint, version, row) => {
+            let expect = version.map_or(Expect::Absent, Expect::Version);
+            let value = serde_json::to_value(row).unwrap_or_default();
+            let stored = client.put(kind, &suspect::row_name(fingerprint), expect, &value).await;
+            Some(match stored {
+                Ok(_) => suspect::Input::Stored(fingerprint),
+                Err(Error::Conflict { .. }) => suspect::Input::Conflict(fingerprint),
+                Err(_) => suspect::Input::Failed(fingerprint),
+            })
+        }
+        suspect::Output::Verdict(..) => None,
+    }
+}
+
+/// A row that can't be read counts as one without evidence.
+fn row(object: platform::Object) -> (u64, Suspect) {
+    (object.version, serde_json::from_value(object.value).unwrap_or_default())
+}
--- a/components/tables/src/check.rs
+++ b/components/tables/src/check.rs
@@ -27,7 +27,7 @@
             Body::Route(route) => check_route(key, route, content, &mut faults),
             Body::Pool(pool) => check_pool(key, pool, &mut faults),
             Body::Account(account) => check_account(key, account, &mut faults),
-            Body::Zone(_) | Body::Server(_) => {}
+            Body::Zone(_) | Body::Server(_) | Body::Suspect(_) => {}
         }
     }
     check_same_match(content, &mut faults);
--- a/components/tables/src/lib.rs
+++ b/components/tables/src/lib.rs
@@ -13,7 +13,9 @@
 pub use check::check;
 pub use error::{Error, Fault};
 pub use host::Host;
-pub use row::{Account, Body, Content, Key, Kind, Pool, PoolKind, Route, Row, Server, Zone};
+pub use row::{
+    Account, Body, Content, Key, Kind, Pool, PoolKind, Route, Row, Server, Suspect, Zone,
+};
 pub use table::{Delta, Table};
 
 /// A shared immutable name: cheap to clone, compared by its text.
--- a/components/tables/src/row.rs
+++ b/components/tables/src/row.rs
@@ -22,11 +22,15 @@
     Server,
     /// A client account.
     Account,
+    /// A request that crashed backend servers, written by agents. The name is
+    /// the request's fingerprint, sixteen hexadecimal digits.
+    Suspect,
 }
 
 impl Kind {
     /// All kinds, in the order in which they are listed.
-    pub const ALL: [Kind; 5] = [Kind::Route, Kind::Pool, Kind::Zone, Kind::Server, Kind::Account];
+    pub const ALL: [Kind; 6] =
+        [Kind::Route, Kind::Pool, Kind::Zone, Kind::Server, Kind::Account, Kind::Suspect];
 
     /// The kind's name in the platform.
     ///
@@ -40,6 +44,7 @@
             Kind::Zone => "zone",
             Kind::Server => "server",
             Kind::Account => "account",
+            Kind::Suspect => "suspect",
         }
     }
 
@@ -85,6 +90,8 @@
     Server(Server),
     /// Content of a client account.
     Account(Account),
+    /// Evidence against a request.
+    Suspect(Suspect),
 }
 
 /// A route: which requests it takes and the pools that serve them.
@@ -166,6 +173,20 @@
     pub weight: u32,
 }
 
+/// Evidence against a request that was running when backend servers crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Suspect {
+    /// Crashes of backend servers that ran it.
+    pub crashes: u32,
+    /// The agent that runs it alone, as `NAME/INCARNATION`.
+    #[serde(default)]
+    pub trial: Option<Name>,
+    /// Whether it crashed a backend server alone: it never runs again.
+    #[serde(default)]
+    pub condemned: bool,
+}
+
 impl Body {
     /// The kind of row that this content belongs to.
     pub fn kind(&self) -> Kind {
@@ -175,6 +196,7 @@
             Body::Zone(_) => Kind::Zone,
             Body::Server(_) => Kind::Server,
             Body::Account(_) => Kind::Account,
+            Body::Suspect(_) => Kind::Suspect,
         }
     }
 
@@ -192,6 +214,7 @@
             Kind::Zone => Body::Zone(serde_json::from_value(value)?),
             Kind::Server => Body::Server(serde_json::from_value(value)?),
             Kind::Account => Body::Account(serde_json::from_value(value)?),
+            Kind::Suspect => Body::Suspect(serde_json::from_value(value)?),
         })
     }
 
@@ -208,6 +231,7 @@
             Body::Zone(zone) => serde_json::to_value(zone),
             Body::Server(server) => serde_json::to_value(server),
             Body::Account(account) => serde_json::to_value(account),
+            Body::Suspect(suspect) => serde_json::to_value(suspect),
         };
         value.unwrap_or_default()
     }
--- a/components/tables/src/table.rs
+++ b/components/tables/src/table.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::row::Content;
-use crate::{Account, Body, Key, Kind, Name, Pool, Route, Row};
+use crate::{Account, Body, Key, Kind, Name, Pool, Route, Row, Suspect};
 
 /// Rows changed since a revision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -130,6 +130,15 @@
         })
     }
 
+    /// The requests that crashed backend servers, with their fingerprints in
+    /// hexadecimal.
+    pub fn suspects(&self) -> impl Iterator<Item = (&Name, &Suspect)> {
+        self.live().filter_map(|(key, body)| match body {
+            Body::Suspect(suspect) => Some((&key.name, suspect)),
+            _ => None,
+        })
+    }
+
     /// The content of all rows that are not deleted.
     pub fn content(&self) -> Content {
         self.live().map(|(key, body)| (key.clone(), body.clone())).collect()
--- a/components/tables/tests/merge.rs
+++ b/components/tables/tests/merge.rs
@@ -61,21 +61,25 @@
         while table.revision() < CHANGES {
             deltas.shuffle(&mut rng);
             for delta in &deltas {
-                merge_forward(&mut table, delta.clone());
+                merge_forward(&mut table, delta.clone(), &history);
             }
         }
         assert_eq!(table, expected, "seed {seed}");
     }
 }
 
-/// Merges and checks that neither revision nor any row steps back.
-fn merge_forward(table: &mut Table, delta: Delta) {
+/// Merges and checks that neither revision nor any row steps back, and that no
+/// row up to the table's revision is missing.
+fn merge_forward(table: &mut Table, delta: Delta, history: &[(Key, Row)]) {
     let before = table.clone();
     table.merge(delta);
     assert!(table.revision() >= before.revision());
     for (key, row) in before.delta(0).rows {
         assert!(table.row(&key).unwrap().version >= row.version);
     }
+    for (key, row) in between(history, 0, table.revision()).rows {
+        assert!(table.row(&key).is_some_and(|known| known.version >= row.version));
+    }
 }
 
 #[rstest]
@@ -87,7 +91,7 @@
     while peers.iter().any(|peer| peer.revision() < CHANGES) {
         let (from, to) = (rng.random_range(0..5), rng.random_range(0..5));
         let delta = peers[from].delta(peers[to].revision());
-        merge_forward(&mut peers[to], delta);
+        merge_forward(&mut peers[to], delta, &history);
     }
     assert!(peers.iter().all(|peer| *peer == peers[0]));
 }
