Keep the last places for accounts without a backlog

Cause: with fair turns alone a flood of the largest account raised the smaller accounts' p95 from 0.202 s to 0.291 .. 0.306 s: each new request waits for a place to come free.

Also: Queue::wait counts the request itself once others wait; a test found that it did not.

--- a/components/admission/examples/admission.rs
+++ b/components/admission/examples/admission.rs
@@ -30,8 +30,8 @@
         }
     }
     println!("discipline factor seed small_p95 large_p95 small_lost longest");
-    for discipline in [Discipline::Fair, Discipline::Fifo] {
-        for factor in [1.0, 5.0, 20.0] {
+    for discipline in [Discipline::Fair, Discipline::Plain, Discipline::Fifo] {
+        for factor in [1.0, 1.5, 5.0, 20.0] {
             for seed in SEEDS {
                 let run = flood(seed, discipline, factor);
                 println!(
--- a/components/admission/src/experiment/flood.rs
+++ b/components/admission/src/experiment/flood.rs
@@ -33,8 +33,10 @@
 /// Who orders the requests that wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discipline {
-    /// [`Queue`].
+    /// [`Queue`] with places kept for accounts without a backlog.
     Fair,
+    /// [`Queue`] without.
+    Plain,
     /// [`Fifo`].
     Fifo,
 }
@@ -58,20 +60,22 @@
 
 enum Waiting {
     Fair(Box<Queue>),
+    Plain(Box<Queue>),
     Fifo(Fifo),
 }
 
 impl Waiting {
     fn push(&mut self, now: Duration, item: Item) -> bool {
         match self {
-            Waiting::Fair(queue) => queue.push(now, item).is_ok(),
+            Waiting::Fair(queue) | Waiting::Plain(queue) => queue.push(now, item).is_ok(),
             Waiting::Fifo(queue) => queue.push(now, item).is_ok(),
         }
     }
 
-    fn pop(&mut self, now: Duration) -> Option<Item> {
+    fn pop(&mut self, now: Duration, running: usize) -> Option<Item> {
         match self {
-            Waiting::Fair(queue) => queue.pop(now),
+            Waiting::Fair(queue) => queue.next(now, running as u32, SLOTS as u32),
+            Waiting::Plain(queue) => queue.pop(now),
             Waiting::Fifo(queue) => loop {
                 let item = queue.pop(now)?;
                 if item.deadline > now {
@@ -94,6 +98,7 @@
     let mut arrivals = arrivals(seed, factor);
     let mut waiting = match discipline {
         Discipline::Fair => Waiting::Fair(Box::new(Queue::new(PLACES))),
+        Discipline::Plain => Waiting::Plain(Box::new(Queue::new(PLACES))),
         Discipline::Fifo => Waiting::Fifo(Fifo::new(PLACES)),
     };
     let mut running: Vec<f64> = Vec::new();
@@ -115,7 +120,7 @@
             }
         }
         while running.len() < SLOTS {
-            let Some(item) = waiting.pop(now) else { break };
+            let Some(item) = waiting.pop(now, running.len()) else { break };
             let Some(arrival) = open.remove(&item.ticket) else { break };
             running.push(at + arrival.service);
             served[arrival.account.min(1)].push(at - arrival.at + FIRST_TOKEN);
--- a/components/admission/src/experiment/ramp.rs
+++ b/components/admission/src/experiment/ramp.rs
@@ -122,7 +122,6 @@
     let mut again = false;
     for step in 0..(LENGTH / STEP) as u32 {
         let at = f64::from(step) * STEP;
-        let now = Duration::from_secs_f64(at);
         if at >= AGAIN && !again {
             again = true;
             engine.cold_since = at;
@@ -177,7 +176,7 @@
         result.excess += 1;
     }
     // What ran when the engine turned cold is no fault of the limit.
-    if at < AGAIN || at > AGAIN + ANSWER * 1.5 {
+    if !(AGAIN..=AGAIN + ANSWER * 1.5).contains(&at) {
         result.worst = result.worst.max(load);
     }
 }
--- a/components/admission/src/lane.rs
+++ b/components/admission/src/lane.rs
@@ -1,6 +1,7 @@
 //! The requests of one class that wait, shared fairly among accounts.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 use tables::Name;
 
@@ -8,6 +9,12 @@
 
 /// Units of virtual time per unit of cost at weight 1.
 const SCALE: u128 = 1 << 20;
+/// Idle accounts that are kept before they are looked through.
+const KEPT: usize = 64;
+/// Waiting requests beyond which an account counts as having a backlog.
+const BACKLOG: usize = 1;
+/// Time for which an account counts as active after its last request.
+const ACTIVE: Duration = Duration::from_secs(10);
 
 /// The requests of one class.
 #[derive(Clone, Debug)]
@@ -17,6 +24,8 @@
     clock: u128,
     order: BTreeSet<(u128, Name)>,
     accounts: HashMap<Name, Account>,
+    recent: Option<(Name, Duration)>,
+    other: Option<(Name, Duration)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -28,7 +37,15 @@
 
 impl Lane {
     pub(crate) fn new(most: usize) -> Lane {
-        Lane { most, len: 0, clock: 0, order: BTreeSet::new(), accounts: HashMap::new() }
+        Lane {
+            most,
+            len: 0,
+            clock: 0,
+            order: BTreeSet::new(),
+            accounts: HashMap::new(),
+            recent: None,
+            other: None,
+        }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -45,8 +62,9 @@
         held >= self.most.saturating_sub(self.len)
     }
 
-    pub(crate) fn push(&mut self, item: Item) {
+    pub(crate) fn push(&mut self, now: Duration, item: Item) {
         let name = item.account.clone();
+        self.saw(now, &name);
         let account = self.accounts.entry(name.clone()).or_default();
         account.weight = item.weight.max(1);
         if account.items.is_empty() {
@@ -58,11 +76,15 @@
     }
 
     pub(crate) fn pop(&mut self) -> Option<Item> {
-        let (start, name) = self.order.pop_first()?;
+        let key = self.order.pop_first()?;
+        self.pop_account(key)
+    }
+
+    fn pop_account(&mut self, (start, name): (u128, Name)) -> Option<Item> {
         let account = self.accounts.get_mut(&name)?;
         let item = account.items.pop_front()?;
         self.len -= 1;
-        self.clock = start;
+        self.clock = self.clock.max(start);
         account.start = start + u128::from(item.cost) * SCALE / u128::from(account.weight);
         if !account.items.is_empty() {
             self.order.insert((account.start, name));
@@ -71,6 +93,17 @@
         Some(item)
     }
 
+    /// Like [`Lane::pop`], but passes over accounts with a backlog while others
+    /// are active.
+    pub(crate) fn pop_small(&mut self, now: Duration) -> Option<Item> {
+        if !self.is_contended(now) {
+            return self.pop();
+        }
+        let key = self.order.iter().find(|(_, name)| !self.has_backlog(name)).cloned()?;
+        self.order.remove(&key);
+        self.pop_account(key)
+    }
+
     pub(crate) fn take(&mut self, name: &Name, ticket: u64) -> Option<Item> {
         let account = self.accounts.get_mut(name)?;
         let at = account.items.iter().position(|item| item.ticket == ticket)?;
@@ -97,11 +130,33 @@
         held as f64 + before.sum::<f64>()
     }
 
-    /// Forgets idle accounts once nothing waits: no one is owed anything then.
+    /// Forgets idle accounts that are not ahead of the clock: a new one would
+    /// start where they do.
     fn prune(&mut self) {
-        if self.len == 0 {
-            self.accounts.clear();
-            self.clock = 0;
+        if self.accounts.len() > 2 * self.order.len() + KEPT {
+            let clock = self.clock;
+            self.accounts.retain(|_, account| !account.items.is_empty() || account.start > clock);
         }
     }
+
+    fn saw(&mut self, now: Duration, name: &Name) {
+        if self.recent.as_ref().is_some_and(|(recent, _)| recent != name) {
+            self.other = self.recent.take();
+        }
+        self.recent = Some((name.clone(), now));
+    }
+
+    /// Whether any request came lately.
+    pub(crate) fn is_active(&self, now: Duration) -> bool {
+        self.recent.as_ref().is_some_and(|(_, at)| now.saturating_sub(*at) < ACTIVE)
+    }
+
+    fn has_backlog(&self, name: &str) -> bool {
+        self.accounts.get(name).is_some_and(|account| account.items.len() > BACKLOG)
+    }
+
+    /// Whether more than one account sent requests lately.
+    fn is_contended(&self, now: Duration) -> bool {
+        self.other.as_ref().is_some_and(|(_, at)| now.saturating_sub(*at) < ACTIVE)
+    }
 }
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -17,6 +17,9 @@
 pub const PLACES: usize = 256;
 /// Share of the places that is kept for batch requests.
 const BATCH_SHARE: usize = 4;
+/// Part of the limit that is kept for accounts without a backlog, as a
+/// divisor.
+const RESERVE_SHARE: u32 = 8;
 /// Weight of a new observation in a mean, as a divisor.
 const SMOOTHING: u32 = 8;
 /// Service time assumed before one was observed.
@@ -103,7 +106,7 @@
     /// queue.push(Duration::ZERO, item.clone()).unwrap();
     /// assert_eq!(queue.pop(Duration::ZERO), Some(item));
     /// ```
-    pub fn push(&mut self, _now: Duration, item: Item) -> Result<(), Full> {
+    pub fn push(&mut self, now: Duration, item: Item) -> Result<(), Full> {
         let lane = self.lane(item.class);
         if lane.is_full() {
             return Err(Full::Queue);
@@ -113,14 +116,34 @@
         }
         self.tickets.insert(item.ticket, (item.class, item.account.clone()));
         self.deadlines.insert((item.deadline, item.ticket));
-        self.lane_mut(item.class).push(item);
+        self.lane_mut(item.class).push(now, item);
         Ok(())
     }
 
     /// Takes the next request that should run; none that has expired.
     pub fn pop(&mut self, now: Duration) -> Option<Item> {
+        self.take_next(now, false)
+    }
+
+    /// Takes the next request that should run beside `running` others at a
+    /// backend server that runs at most `limit`. The last places are kept for
+    /// accounts without a backlog, while several are active, and for interactive
+    /// requests, while there are any.
+    pub fn next(&mut self, now: Duration, running: u32, limit: u32) -> Option<Item> {
+        let free = limit.saturating_sub(running);
+        if free == 0 {
+            return None;
+        }
+        self.take_next(now, free <= limit / RESERVE_SHARE)
+    }
+
+    fn take_next(&mut self, now: Duration, scarce: bool) -> Option<Item> {
         self.sweep(now);
-        let item = self.interactive.pop().or_else(|| self.batch.pop())?;
+        let item = match scarce {
+            false => self.interactive.pop().or_else(|| self.batch.pop())?,
+            true if self.interactive.is_active(now) => self.interactive.pop_small(now)?,
+            true => self.batch.pop_small(now)?,
+        };
         self.tickets.remove(&item.ticket);
         self.deadlines.remove(&(item.deadline, item.ticket));
         if let Some(popped) = self.popped {
@@ -152,14 +175,19 @@
         self.tickets.is_empty()
     }
 
-    /// How long a request of this class and account that came now would wait.
+    /// How long a request of this class and account that came now would wait:
+    /// nothing while no request of its class or a more urgent one does.
     pub fn wait(&self, _now: Duration, class: Class, account: &str) -> Duration {
-        let ahead = match class {
-            Class::Interactive => self.interactive.ahead(account),
-            Class::Batch => self.interactive.len() as f64 + self.batch.ahead(account),
+        let urgent = self.interactive.len();
+        let (waiting, ahead) = match class {
+            Class::Interactive => (urgent, self.interactive.ahead(account)),
+            Class::Batch => (urgent + self.batch.len(), urgent as f64 + self.batch.ahead(account)),
         };
+        if waiting == 0 {
+            return Duration::ZERO;
+        }
         let each = self.gap.or(self.service).unwrap_or(SERVICE_TIME);
-        each.mul_f64(ahead)
+        each.mul_f64(ahead + 1.0)
     }
 
     /// Takes in how long a request kept its place at the backend server; used
