Add the development tool: platform, engine, service, load

Each command is a file of its own. Settings go through the loader that the daemons use, so a bad file shows all its faults and ends with exit code 2 before anything listens.

--- /dev/null
+++ b/bins/wisteria-lab/src/cmd/engine.rs
@@ -0,0 +1,22 @@
+//! Serves a stand-in for a model engine until told to stop.
+
+use std::process::ExitCode;
+
+use lab::ServeError;
+use lab::engine::Settings;
+
+use crate::cmd::flags::Engine;
+
+/// Runs the stand-in, or only checks its settings.
+pub fn run(flags: Engine) -> ExitCode {
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    daemon::start(flags, serve)
+}
+
+async fn serve(settings: Settings) -> Result<(), ServeError> {
+    let handle = lab::engine::serve(settings)?;
+    println!("{}", handle.address);
+    daemon::stopped().await;
+    handle.stop();
+    Ok(())
+}
--- /dev/null
+++ b/bins/wisteria-lab/src/cmd/flags.rs
@@ -0,0 +1,60 @@
+//! The flags of the command line.
+#![allow(missing_docs)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Stand-ins and load for the development of wisteriastream.
+    ///
+    /// Exit codes: 0 done, 1 failed, 2 bad command line or settings.
+    cmd lab {
+        /// Serve a stand-in for the platform's service.
+        cmd platform {
+            /// Settings in JSON.
+            required --settings file: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
+        /// Serve a stand-in for a model engine.
+        cmd engine {
+            /// Settings in JSON.
+            required --settings file: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
+        /// Serve a stand-in for a plain service.
+        cmd service {
+            /// Settings in JSON.
+            required --settings file: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
+        /// Send an open-loop load to an entry and print JSON lines.
+        ///
+        /// Exit code 1 if an answer was lost or wrong.
+        cmd load {
+            /// URL of the entry.
+            required --url url: String
+            /// Seed of all that is drawn (1).
+            optional --seed seed: u64
+            /// Requests a second (50).
+            optional --rate rate: f64
+            /// Seconds during which requests start (5).
+            optional --seconds seconds: f64
+            /// Share of bookings, 0 to 1; the rest is chat (0.2).
+            optional --booking-share share: f64
+            /// Path of bookings (/bookings).
+            optional --booking-path path: String
+            /// Least tokens of an answer (8).
+            optional --tokens-min tokens: u32
+            /// Most tokens of an answer (64).
+            optional --tokens-max tokens: u32
+            /// Model asked for (stand-in).
+            optional --model model: String
+            /// Bearer key of the client account.
+            optional --key key: String
+            /// Seconds after which a request counts as lost (30).
+            optional --timeout seconds: f64
+        }
+    }
+}
--- /dev/null
+++ b/bins/wisteria-lab/src/cmd/load.rs
@@ -0,0 +1,71 @@
+//! Sends a load and prints what came of it.
+
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use lab::load::{Plan, Record, Tally, Target, bar, run as send};
+use settings::Check;
+
+use crate::cmd::flags::Load;
+
+/// Exit code for a bad command line.
+const BAD_INPUT: u8 = 2;
+
+/// Runs the load that the flags describe.
+pub fn run(flags: Load) -> ExitCode {
+    let plan = plan(&flags);
+    let faults = plan.faults();
+    if !faults.is_empty() {
+        for fault in faults {
+            eprintln!("{fault}");
+        }
+        return ExitCode::from(BAD_INPUT);
+    }
+    let total = plan.arrivals().count() as u64;
+    let tally = actix_rt::System::new().block_on(send(&plan, target(flags), bar(total)));
+    print(&plan, &tally);
+    let count = tally.count();
+    let good = count.sent == total && count.lost == 0 && count.wrong == 0;
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn plan(flags: &Load) -> Plan {
+    let customary = Plan::default();
+    Plan {
+        seed: flags.seed.unwrap_or(customary.seed),
+        epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        rate: flags.rate.unwrap_or(customary.rate),
+        length: flags.seconds.map_or(customary.length, seconds),
+        booking_share: flags.booking_share.unwrap_or(customary.booking_share),
+        tokens: (
+            flags.tokens_min.unwrap_or(customary.tokens.0),
+            flags.tokens_max.unwrap_or(customary.tokens.1),
+        ),
+        ..customary
+    }
+}
+
+fn target(flags: Load) -> Target {
+    let customary = Target::new(flags.url.trim_end_matches('/'));
+    Target {
+        key: flags.key,
+        model: flags.model.unwrap_or(customary.model),
+        booking_path: flags.booking_path.unwrap_or(customary.booking_path),
+        timeout: flags.timeout.map_or(customary.timeout, seconds),
+        ..customary
+    }
+}
+
+fn seconds(number: f64) -> Duration {
+    Duration::try_from_secs_f64(number).unwrap_or_default()
+}
+
+fn print(plan: &Plan, tally: &Tally) {
+    for line in tally.lines() {
+        let record = Record { seed: plan.seed, rate: plan.rate, line };
+        match serde_json::to_string(&record) {
+            Ok(text) => println!("{text}"),
+            Err(error) => eprintln!("a line can't be written: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/bins/wisteria-lab/src/cmd/mod.rs
@@ -0,0 +1,7 @@
+//! The commands, a file each.
+
+pub mod engine;
+pub mod flags;
+pub mod load;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/bins/wisteria-lab/src/cmd/service.rs
@@ -0,0 +1,22 @@
+//! Serves a stand-in for a plain service until told to stop.
+
+use std::process::ExitCode;
+
+use lab::ServeError;
+use lab::service::Settings;
+
+use crate::cmd::flags::Service;
+
+/// Runs the stand-in, or only checks its settings.
+pub fn run(flags: Service) -> ExitCode {
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    daemon::start(flags, serve)
+}
+
+async fn serve(settings: Settings) -> Result<(), ServeError> {
+    let service = lab::service::serve(settings)?;
+    println!("{}", service.handle.address);
+    daemon::stopped().await;
+    service.stop();
+    Ok(())
+}
--- a/bins/wisteria-lab/src/main.rs
+++ b/bins/wisteria-lab/src/main.rs
@@ -1,3 +1,20 @@
-//! Placeholder.
+//! The development tool: stand-ins and load.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+use cmd::flags::{Lab, LabCmd};
+
+fn main() -> ExitCode {
+    let flags = match Lab::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    match flags.subcommand {
+        LabCmd::Platform(flags) => cmd::platform::run(flags),
+        LabCmd::Engine(flags) => cmd::engine::run(flags),
+        LabCmd::Service(flags) => cmd::service::run(flags),
+        LabCmd::Load(flags) => cmd::load::run(flags),
+    }
+}
--- a/components/lab/src/engine/settings.rs
+++ b/components/lab/src/engine/settings.rs
@@ -7,7 +7,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use settings::{Check, Fault, Reason};
-use telemetry::Level;
 
 /// Most requests that the capacities may allow at once.
 const CAPACITY_LIMIT: f64 = 100_000.0;
@@ -22,8 +21,6 @@
 pub struct Settings {
     /// Address to serve; port 0 takes any free port.
     pub listen: SocketAddr,
-    /// Level of the log.
-    pub log: Level,
     /// Seed of what happens at random.
     pub seed: u64,
     /// Model name in answers.
@@ -78,7 +75,6 @@
     fn default() -> Self {
         Self {
             listen: (Ipv4Addr::LOCALHOST, 0).into(),
-            log: Level::Info,
             seed: 1,
             model: "stand-in".into(),
             token_interval: Duration::from_millis(10),
--- a/components/lab/src/load.rs
+++ b/components/lab/src/load.rs
@@ -6,14 +6,16 @@
 //! server is not hidden by the requests that it held up (coordinated omission,
 //! Tene 2013).
 
+mod bar;
 mod outcome;
 mod plan;
 mod reader;
 mod run;
 mod tally;
 
+pub use bar::bar;
 pub use outcome::{Outcome, Refused};
 pub use plan::{Arrival, Kind, Plan, Work};
 pub use reader::{Reader, ReaderError};
 pub use run::{Progress, Target, run};
-pub use tally::{Answer, Count, Line, Quantiles, Tally};
+pub use tally::{Answer, Count, Line, Quantiles, Record, Tally};
--- a/components/lab/src/load/plan.rs
+++ b/components/lab/src/load/plan.rs
@@ -5,9 +5,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use settings::{Check, Fault, Reason};
 
 /// Words of a prompt that no other request shares.
 const OWN_WORDS: u32 = 8;
+/// Most requests a second.
+const RATE_LIMIT: f64 = 1e6;
 /// Benches or rooms that bookings are for.
 const PLACES: u32 = 40;
 
@@ -88,6 +91,19 @@
     }
 }
 
+impl Check for Plan {
+    fn faults(&self) -> Vec<Fault> {
+        let (least, most) = self.tokens;
+        let conflict = Reason::Conflict { other: "/tokens/1".to_owned() };
+        let faults = [
+            Fault::outside("/rate", self.rate, 0.0..=RATE_LIMIT),
+            Fault::outside("/booking_share", self.booking_share, 0.0..=1.0),
+            (least > most).then(|| Fault::new("/tokens/0", conflict)),
+        ];
+        faults.into_iter().flatten().collect()
+    }
+}
+
 impl Work {
     /// The kind of the request.
     ///
@@ -105,7 +121,8 @@
 }
 
 impl Plan {
-    /// All arrivals in their order; the same for the same plan.
+    /// All arrivals in their order; the same for the same plan. The plan must
+    /// be free of faults (see [`Check`]).
     ///
     /// ```
     /// use lab::load::Plan;
--- a/components/lab/src/load/tally.rs
+++ b/components/lab/src/load/tally.rs
@@ -79,6 +79,18 @@
     pub total_ms: Quantiles,
 }
 
+/// A line with the load that it comes from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The load's seed.
+    pub seed: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// The results.
+    #[serde(flatten)]
+    pub line: Line,
+}
+
 #[derive(Clone, Debug)]
 struct Part {
     count: Count,
--- a/components/lab/src/service/settings.rs
+++ b/components/lab/src/service/settings.rs
@@ -7,7 +7,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use settings::{Check, Fault, Reason};
-use telemetry::Level;
 
 /// How the service behaves. Times are in milliseconds.
 #[serde_as]
@@ -16,8 +15,6 @@
 pub struct Settings {
     /// Address to serve; port 0 takes any free port.
     pub listen: SocketAddr,
-    /// Level of the log.
-    pub log: Level,
     /// Time that each request takes.
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "delay_ms")]
@@ -32,7 +29,6 @@
     fn default() -> Self {
         Self {
             listen: (Ipv4Addr::LOCALHOST, 0).into(),
-            log: Level::Info,
             delay: Duration::from_millis(5),
             crash_marker: None,
             hang_marker: None,
