Add the operators' library and command line

Plan, write and wait are decisions without clock or socket; the session joins them to the platform. A reply lost after the effect is resolved by the row's last change since the plan: a change id inside the row would have broken its schema, and one beside it would not have been atomic with it. The grammar takes actions as words, since xflags names its types by a command's last word alone and so allows no two commands `list`.

--- /dev/null
+++ b/bins/wisteria/src/cmd/dump.rs
@@ -0,0 +1,12 @@
+//! `wisteria dump ADDRESS`.
+
+use operator::Error;
+
+use super::Context;
+use crate::flags::Dump;
+
+pub async fn run(context: &Context, flags: Dump) -> Result<i32, Error> {
+    // A dump is JSON with and without --json.
+    super::print_json(&context.session.dump(&flags.address).await?);
+    Ok(0)
+}
--- a/bins/wisteria/src/main.rs
+++ b/bins/wisteria/src/main.rs
@@ -1,3 +1,31 @@
-//! Placeholder.
+//! The operators' command line: dispatches to one file for each command.
 
-fn main() {}
+mod action;
+mod cmd;
+mod flags;
+
+use flags::{Wisteria, WisteriaCmd};
+
+fn main() {
+    let flags = Wisteria::from_env_or_exit();
+    let result = actix_rt::System::new().block_on(dispatch(flags));
+    let code = result.unwrap_or_else(cmd::fail);
+    std::process::exit(code);
+}
+
+async fn dispatch(flags: Wisteria) -> Result<i32, operator::Error> {
+    let context = cmd::Context::new(&flags)?;
+    match flags.subcommand {
+        WisteriaCmd::Routes(routes) => cmd::routes::run(&context, routes).await,
+        WisteriaCmd::Pools(pools) => cmd::pools::run(&context, pools).await,
+        WisteriaCmd::Accounts(accounts) => cmd::accounts::run(&context, accounts).await,
+        WisteriaCmd::Zones(zones) => cmd::zones::run(&context, zones).await,
+        WisteriaCmd::Servers(servers) => cmd::servers::run(&context, servers).await,
+        WisteriaCmd::Apply(apply) => cmd::apply::run(&context, apply).await,
+        WisteriaCmd::Zone(zone) => cmd::zone::run(&context, zone).await,
+        WisteriaCmd::Server(server) => cmd::server::run(&context, server).await,
+        WisteriaCmd::Status(_) => cmd::status::run(&context).await,
+        WisteriaCmd::Dump(dump) => cmd::dump::run(&context, dump).await,
+        WisteriaCmd::Explain(explain) => cmd::explain::run(&context, explain).await,
+    }
+}
