--- a/components/operator/src/file.rs
+++ b/components/operator/src/file.rs
@@ -47,17 +47,19 @@
 /// assert_eq!(error.exit_code(), 2);
 /// ```
 pub fn parse(name: &str, text: &str, present: &Present) -> Result<Vec<Wanted>, Error> {
-    let mut faults = match settings::parse::<Shape>(name, text) {
+    let mut placed = match settings::parse::<Shape>(name, text) {
         Ok(_) => Vec::new(),
-        Err(settings::Error::Faulty { faults, .. }) => faults,
+        Err(settings::Error::Faulty { faults, labels, .. }) => {
+            labels.into_iter().zip(faults).collect()
+        }
         Err(error) => return Err(Error::File(Box::new(error))),
     };
     let wanted = rows(text);
-    faults.extend(table_faults(&wanted, present));
-    if faults.is_empty() {
+    placed.extend(table_faults(&wanted, present).into_iter().map(|fault| label(text, fault)));
+    if placed.is_empty() {
         return Ok(wanted);
     }
-    Err(Error::File(Box::new(faulty(name, text, faults))))
+    Err(Error::File(Box::new(faulty(name, text, placed))))
 }
 
 /// The rows of a text, whether or not they can be decoded.
@@ -112,15 +114,14 @@
     name.replace('~', "~0").replace('/', "~1")
 }
 
-fn faulty(name: &str, text: &str, faults: Vec<Fault>) -> settings::Error {
-    let mut placed: Vec<(Range<usize>, Fault)> =
-        faults.into_iter().map(|fault| (locate(text, &fault.pointer), fault)).collect();
-    placed.sort_by_key(|(range, _)| (range.start, range.end));
-    let label = |(range, fault): &(Range<usize>, Fault)| {
-        LabeledSpan::new_with_span(Some(fault.reason.to_string()), range.clone())
-    };
-    let labels = placed.iter().map(label).collect();
-    let faults = placed.into_iter().map(|(_, fault)| fault).collect();
+fn label(text: &str, fault: Fault) -> (LabeledSpan, Fault) {
+    let range = locate(text, &fault.pointer);
+    (LabeledSpan::new_with_span(Some(fault.reason.to_string()), range), fault)
+}
+
+fn faulty(name: &str, text: &str, mut placed: Vec<(LabeledSpan, Fault)>) -> settings::Error {
+    placed.sort_by_key(|(label, _)| (label.offset(), label.len()));
+    let (labels, faults) = placed.into_iter().unzip();
     let text = NamedSource::new(name, text.to_owned()).with_language("JSON");
     settings::Error::Faulty { faults, text, labels }
 }
