--- a/components/routing/src/experiment.rs
+++ b/components/routing/src/experiment.rs
@@ -1,1 +1,344 @@
-//! Small seeded experiments that measure the choice of backend servers.
+//! A small seeded experiment that measures the choice of backend servers.
+//!
+//! Some entries, each with a subset of the servers, choose by late reports and
+//! gappy cache events; fake engines queue, compute prompts and hold places.
+
+mod engine;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tables::Name;
+
+use crate::choice::{self, Candidate};
+use crate::prefix::Prefix;
+use crate::report::Book;
+use crate::{baseline, subset};
+use engine::{Engine, Job};
+
+/// Backend servers.
+const SERVERS: usize = 48;
+/// Those of them that are cold throughout.
+const COLD_SERVERS: usize = 3;
+/// Entries.
+const ENTRIES: usize = 8;
+/// Servers that an entry knows.
+const SUBSET: usize = 24;
+/// Availability zones.
+const ZONES: usize = 3;
+/// Families of prompts that share a prefix.
+const FAMILIES: usize = 300;
+/// Tokens of a block of a prompt.
+const BLOCK_TOKENS: u32 = 64;
+/// Time between two reports of a server.
+const REPORT_EVERY: u64 = 100_000;
+/// Delay of a cache event, in microseconds.
+const CACHE_LAG: u64 = 500_000;
+/// One way within the zone, in microseconds.
+const NEAR: u64 = 200;
+/// One way between zones, in microseconds.
+const FAR: u64 = 1_000;
+/// Time that a request holds its place after its first token, in microseconds.
+const DECODE: u64 = 2_000_000;
+/// Start of the part of a run that is measured, in microseconds.
+const WARM_UP: u64 = 5_000_000;
+/// End of the arrivals, in microseconds.
+const LENGTH: u64 = 25_000_000;
+
+/// Who chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// [`choice::choose`] with cache knowledge.
+    Scored,
+    /// [`choice::choose`] without cache knowledge.
+    Uncached,
+    /// [`baseline::random`].
+    Random,
+    /// [`baseline::round_robin`].
+    RoundRobin,
+    /// [`baseline::least_in_flight`].
+    LeastInFlight,
+    /// [`baseline::two_choices`].
+    TwoChoices,
+}
+
+/// What a run is given.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Seed of all that is random.
+    pub seed: u64,
+    /// Who chooses.
+    pub policy: Policy,
+    /// Age of a report when it arrives.
+    pub lag: Duration,
+    /// Share of cache events that are lost.
+    pub gaps: f64,
+    /// Arrivals as a share of the places' capacity.
+    pub load: f64,
+}
+
+/// What a run showed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// Median first-token latency.
+    pub median: Duration,
+    /// 95th percentile of the first-token latency.
+    pub p95: Duration,
+    /// Most requests that waited at one warm server.
+    pub queue: usize,
+    /// Most requests that waited at one cold server.
+    pub cold_queue: usize,
+    /// Share of the prompt tokens that were cached.
+    pub cached: f64,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { entry: usize },
+    Reach { server: usize, job: Job },
+    Prefilled { server: usize },
+    Finished { server: usize, entry: usize, tokens: u32 },
+    Measure { server: usize },
+    Deliver { server: usize, report: engine::Load },
+    Cached { server: usize, blocks: Vec<u64> },
+}
+
+struct Entry {
+    zone: usize,
+    known: Vec<usize>,
+    book: Book,
+    prefix: Prefix,
+    turn: usize,
+}
+
+struct Simulation {
+    setting: Setting,
+    rng: ChaCha8Rng,
+    at: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    serial: u64,
+    names: Vec<Name>,
+    engines: Vec<Engine>,
+    entries: Vec<Entry>,
+    latencies: Vec<u64>,
+    tokens: u64,
+    cached: u64,
+}
+
+/// Runs the experiment once.
+///
+/// ```
+/// use std::time::Duration;
+/// use routing::experiment::{Policy, Setting, run};
+/// let lag = Duration::from_millis(100);
+/// let setting = Setting { seed: 1, policy: Policy::Random, lag, gaps: 0.3, load: 0.3 };
+/// assert_eq!(run(setting), run(setting));
+/// ```
+pub fn run(setting: Setting) -> Outcome {
+    let mut simulation = Simulation::new(setting);
+    simulation.start();
+    while let Some(Reverse((at, _, event))) = simulation.events.pop() {
+        simulation.at = at;
+        simulation.handle(event);
+    }
+    simulation.outcome()
+}
+
+impl Simulation {
+    fn new(setting: Setting) -> Simulation {
+        let names: Vec<Name> = (0..SERVERS).map(|i| Name::from(format!("s{i}"))).collect();
+        let entries = (0..ENTRIES).map(|i| Entry::new(i, &names)).collect();
+        Simulation {
+            setting,
+            rng: ChaCha8Rng::seed_from_u64(setting.seed),
+            at: 0,
+            events: BinaryHeap::new(),
+            serial: 0,
+            names,
+            engines: (0..SERVERS).map(|i| Engine::new(i < COLD_SERVERS)).collect(),
+            entries,
+            latencies: Vec::new(),
+            tokens: 0,
+            cached: 0,
+        }
+    }
+
+    fn start(&mut self) {
+        for entry in 0..ENTRIES {
+            self.after(0, Event::Arrive { entry });
+        }
+        for server in 0..SERVERS {
+            let offset = self.rng.random_range(0..REPORT_EVERY);
+            self.after(offset, Event::Measure { server });
+        }
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.serial += 1;
+        self.events.push(Reverse((self.at + delay, self.serial, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { entry } => self.arrive(entry),
+            Event::Reach { server, job } => {
+                self.engines[server].queue.push_back(job);
+                self.advance(server);
+            }
+            Event::Prefilled { server } => self.prefilled(server),
+            Event::Finished { server, entry, tokens } => {
+                self.engines[server].running -= 1;
+                let now = Duration::from_micros(self.at);
+                self.entries[entry].book.ended(now, &self.names[server], tokens);
+                self.advance(server);
+            }
+            Event::Measure { server } => self.measure(server),
+            Event::Deliver { server, report } => self.deliver(server, report),
+            Event::Cached { server, blocks } => self.note(server, &blocks),
+        }
+    }
+
+    fn arrive(&mut self, entry: usize) {
+        if self.at >= LENGTH {
+            return;
+        }
+        let rate = self.setting.load * engine::LIMIT as f64 * (SERVERS - COLD_SERVERS) as f64
+            / (DECODE as f64 * ENTRIES as f64);
+        let gap = -self.rng.random_range(f64::EPSILON..1.0f64).ln() / rate;
+        self.after(gap as u64, Event::Arrive { entry });
+        let job = self.job(entry);
+        let Some(server) = self.choose(entry, &job) else { return };
+        let now = Duration::from_micros(self.at);
+        let origin = &mut self.entries[entry];
+        origin.book.started(now, &self.names[server], job.tokens);
+        origin.prefix.note(now, &self.names[server], &job.blocks);
+        let hop = if origin.zone == server % ZONES { NEAR } else { FAR };
+        self.after(hop, Event::Reach { server, job });
+    }
+
+    /// A request of a random family: a shared prefix and a tail of its own.
+    fn job(&mut self, entry: usize) -> Job {
+        let draw: f64 = self.rng.random();
+        let family = ((FAMILIES as f64).powf(draw) - 1.0) as u64;
+        let shared = 4 + family % 28;
+        let tail = self.rng.random_range(2..12);
+        let own: u64 = self.rng.random();
+        let prefix = (0..shared).map(|i| (family << 8) | i);
+        let blocks: Vec<u64> = prefix.chain((0..tail).map(|i| own.wrapping_add(i))).collect();
+        let tokens = blocks.len() as u32 * BLOCK_TOKENS;
+        Job { entry, arrived: self.at, tokens, blocks }
+    }
+
+    fn choose(&mut self, entry: usize, job: &Job) -> Option<usize> {
+        let now = Duration::from_micros(self.at);
+        let entry = &mut self.entries[entry];
+        let use_cache = self.setting.policy == Policy::Scored;
+        let shares = entry.prefix.shares(now, &job.blocks);
+        let candidates: Vec<Candidate> = entry
+            .known
+            .iter()
+            .map(|server| {
+                let name = &self.names[*server];
+                let cached = shares.get(name).copied().filter(|_| use_cache).unwrap_or(0.0);
+                Candidate {
+                    server: name.clone(),
+                    same_zone: entry.zone == server % ZONES,
+                    spare: true,
+                    view: entry.book.view(now, name),
+                    in_flight: entry.book.in_flight(name),
+                    cached,
+                }
+            })
+            .collect();
+        let chosen = match self.setting.policy {
+            Policy::Scored | Policy::Uncached => {
+                choice::choose(&mut self.rng, &candidates, job.tokens)
+            }
+            Policy::Random => baseline::random(&mut self.rng, &candidates),
+            Policy::RoundRobin => baseline::round_robin(&mut entry.turn, &candidates),
+            Policy::LeastInFlight => baseline::least_in_flight(&candidates),
+            Policy::TwoChoices => baseline::two_choices(&mut self.rng, &candidates),
+        };
+        chosen.map(|index| entry.known[index])
+    }
+
+    fn advance(&mut self, server: usize) {
+        if let Some(prefill) = self.engines[server].start() {
+            self.tokens += u64::from(prefill.tokens);
+            self.cached += u64::from(prefill.cached);
+            self.after(prefill.time, Event::Prefilled { server });
+        }
+    }
+
+    fn prefilled(&mut self, server: usize) {
+        let Some(job) = self.engines[server].finish() else { return };
+        let hop = if self.entries[job.entry].zone == server % ZONES { NEAR } else { FAR };
+        if job.arrived >= WARM_UP {
+            self.latencies.push(self.at + hop - job.arrived);
+        }
+        let decode = (DECODE as f64 * self.rng.random_range(0.5..1.5)) as u64;
+        let Job { entry, tokens, blocks, .. } = job;
+        self.after(decode, Event::Finished { server, entry, tokens });
+        if !self.rng.random_bool(self.setting.gaps) {
+            self.after(CACHE_LAG, Event::Cached { server, blocks });
+        }
+        self.advance(server);
+    }
+
+    fn measure(&mut self, server: usize) {
+        if self.at >= LENGTH {
+            return;
+        }
+        let report = self.engines[server].load();
+        let lag = self.setting.lag.as_micros() as u64;
+        self.after(lag, Event::Deliver { server, report });
+        self.after(REPORT_EVERY, Event::Measure { server });
+    }
+
+    fn deliver(&mut self, server: usize, load: engine::Load) {
+        let now = Duration::from_micros(self.at);
+        for entry in self.entries.iter_mut().filter(|entry| entry.known.contains(&server)) {
+            entry.book.observe(now, &self.names[server], load.into());
+        }
+    }
+
+    fn note(&mut self, server: usize, blocks: &[u64]) {
+        let now = Duration::from_micros(self.at);
+        for entry in self.entries.iter_mut().filter(|entry| entry.known.contains(&server)) {
+            entry.prefix.note(now, &self.names[server], blocks);
+        }
+    }
+
+    fn outcome(mut self) -> Outcome {
+        self.latencies.sort_unstable();
+        let quantile = |share: f64| {
+            let rank = (self.latencies.len().saturating_sub(1) as f64 * share).ceil() as usize;
+            Duration::from_micros(self.latencies.get(rank).copied().unwrap_or(0))
+        };
+        let longest = |engines: &[Engine]| engines.iter().map(|e| e.longest).max().unwrap_or(0);
+        Outcome {
+            median: quantile(0.5),
+            p95: quantile(0.95),
+            queue: longest(&self.engines[COLD_SERVERS..]),
+            cold_queue: longest(&self.engines[..COLD_SERVERS]),
+            cached: self.cached as f64 / self.tokens.max(1) as f64,
+        }
+    }
+}
+
+impl Entry {
+    fn new(index: usize, names: &[Name]) -> Entry {
+        let subset = subset::pick(&format!("e{index}"), names, SUBSET);
+        let known = subset.iter().filter_map(|name| names.iter().position(|other| other == name));
+        Entry {
+            zone: index % ZONES,
+            known: known.collect(),
+            book: Book::default(),
+            prefix: Prefix::default(),
+            turn: index,
+        }
+    }
+}
