--- a/components/group/src/leader.rs
+++ b/components/group/src/leader.rs
@@ -122,7 +122,13 @@
                 })
                 .collect();
         }
-        let mut outputs = self.all(Body::Heartbeat);
+        // A repeated grant tells that the leader is there as well.
+        let begun = |rank: &Rank| {
+            let follower = &self.followers[usize::from(*rank)];
+            self.block.is_none_or(|block| follower.has_begun(&block))
+        };
+        let beat = |rank: Rank| self.send(rank, Body::Heartbeat);
+        let mut outputs: Vec<Output> = (0..self.settings.ranks).filter(begun).map(beat).collect();
         outputs.extend(self.prepare());
         outputs.extend(self.grant());
         outputs
--- a/components/group/src/lib.rs
+++ b/components/group/src/lib.rs
@@ -6,9 +6,11 @@
 //! no step is ever run under two expert maps.
 
 mod agent;
+pub mod experiment;
 mod leader;
 mod member;
 mod message;
+pub mod placement;
 
 pub use agent::{Agent, Input, Lease, Object, Output, Settings};
 pub use leader::Leader;
