Place faults that adapters find at their field

A time of -5 ms was shown at the whole file, since serde_json places an error that is raised after a value was read at the end of the object around it, or at the next item of a list. The field that gives the same error when it is alone in its object is now taken as the place. Naming the field from the message was ruled out: adapters don't tell it. The stand-ins' times got upper bounds as well.

--- a/bins/wisteria-lab/tests/command.rs
+++ b/bins/wisteria-lab/tests/command.rs
@@ -23,6 +23,12 @@
 #[case::platform_bad("platform", r#"{"listen": "here", "store": {"pages": 1}}"#, 2, "pages")]
 #[case::engine_good("engine", r#"{"listen": "127.0.0.1:0", "seed": 4}"#, 0, "")]
 #[case::engine_bad("engine", r#"{"capacity_cold": 0, "seeds": 4}"#, 2, "seeds")]
+#[case::engine_bad_time(
+    "engine",
+    r#"{"restart_ms": -5, "report_lag_ms": 1e18}"#,
+    2,
+    "report_lag_ms"
+)]
 #[case::service_good("service", "{}", 0, "")]
 #[case::service_bad("service", r#"{"delay_ms": "long"}"#, 2, "long")]
 fn check_settings(
@@ -31,7 +37,7 @@
     #[case] code: i32,
     #[case] part: &str,
 ) {
-    let path = file(&format!("{command}-{code}"), text);
+    let path = file(&format!("{command}-{code}-{part}"), text);
     let output = lab(&[command, "--check", "--settings", path.to_str().unwrap()]);
     assert_eq!(output.status.code(), Some(code), "{output:?}");
     assert!(String::from_utf8_lossy(&output.stderr).contains(part), "{output:?}");
--- a/components/lab/src/engine/settings.rs
+++ b/components/lab/src/engine/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the stand-in engine.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use arcstr::ArcStr;
@@ -10,6 +11,10 @@
 
 /// Most requests that the capacities may allow at once.
 const CAPACITY_LIMIT: f64 = 100_000.0;
+/// Longest lag or restart, in milliseconds.
+const TIME_LIMIT_MS: f64 = 86_400_000.0;
+/// Shortest and longest interval of a token or step, in milliseconds.
+const INTERVAL_MS: RangeInclusive<f64> = 0.001..=60_000.0;
 /// Most prompt tokens a second.
 const PREFILL_LIMIT: f64 = 1e9;
 
@@ -111,8 +116,11 @@
             Fault::outside("/capacity_cold", self.capacity_cold as f64, 1.0..=warm.max(1.0)),
             Fault::outside("/cold_factor", self.cold_factor, 1.0..=1000.0),
             Fault::outside("/cache_event_loss", self.cache_event_loss, 0.0..=1.0),
-            Fault::outside("/token_interval_ms", ms(self.token_interval), 0.001..=60_000.0),
-            Fault::outside("/step_interval_ms", ms(self.step_interval), 0.001..=60_000.0),
+            Fault::outside("/token_interval_ms", ms(self.token_interval), INTERVAL_MS),
+            Fault::outside("/step_interval_ms", ms(self.step_interval), INTERVAL_MS),
+            Fault::outside("/restart_ms", ms(self.restart), 0.0..=TIME_LIMIT_MS),
+            Fault::outside("/report_lag_ms", ms(self.report_lag), 0.0..=TIME_LIMIT_MS),
+            Fault::outside("/cache_event_lag_ms", ms(self.cache_event_lag), 0.0..=TIME_LIMIT_MS),
         ];
         faults.into_iter().flatten().collect()
     }
--- a/components/lab/src/service/settings.rs
+++ b/components/lab/src/service/settings.rs
@@ -8,6 +8,9 @@
 use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use settings::{Check, Fault, Reason};
 
+/// Longest delay, in milliseconds.
+const DELAY_LIMIT_MS: f64 = 86_400_000.0;
+
 /// How the service behaves. Times are in milliseconds.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -42,6 +45,8 @@
         let empty = markers
             .into_iter()
             .filter(|(_, marker)| marker.as_ref().is_some_and(|marker| marker.is_empty()));
-        empty.map(|(pointer, _)| Fault::new(pointer, Reason::Empty)).collect()
+        let empty = empty.map(|(pointer, _)| Fault::new(pointer, Reason::Empty));
+        let delay = self.delay.as_secs_f64() * 1e3;
+        empty.chain(Fault::outside("/delay_ms", delay, 0.0..=DELAY_LIMIT_MS)).collect()
     }
 }
--- a/components/settings/src/repair.rs
+++ b/components/settings/src/repair.rs
@@ -15,6 +15,16 @@
 /// Attempts before the search for further faults ends.
 const ATTEMPTS: usize = 2_000;
 
+/// Beginnings of serde's own errors, whose places are right.
+const PLACED: [&str; 6] = [
+    "missing field `",
+    "unknown field `",
+    "unknown variant `",
+    "invalid type: ",
+    "invalid length ",
+    "expected ",
+];
+
 /// The outcome of a search.
 pub struct Search<T> {
     /// The value, made with stand-ins where there were faults; none if no
@@ -41,8 +51,9 @@
             Err(error) => error,
         };
         let places = Places::new(&text);
-        let at = places.stopped(error.column()).unwrap_or_default().to_owned();
-        let fault = describe(&error, at);
+        let at = places.stopped(error.column()).unwrap_or_default();
+        let within = culprit::<T>(&value, at, &error);
+        let fault = describe(&error, within.unwrap_or_else(|| at.to_owned()));
         if !tried.keys().any(|known| covers(known, &fault.pointer)) {
             faults.push(fault.clone());
         }
@@ -59,10 +70,54 @@
     rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
+/// The field or item at fault when a value was refused after it was read, as
+/// unit adapters do: then the error's place is the object around it, or the
+/// next item of the list.
+fn culprit<T: DeserializeOwned>(
+    value: &Value,
+    at: &str,
+    error: &serde_json::Error,
+) -> Option<String> {
+    let refused = detail(error);
+    if PLACED.iter().any(|start| refused.starts_with(start)) {
+        return None;
+    }
+    let list = at.rsplit_once('/').map(|(parent, _)| parent);
+    let list = list.filter(|parent| value.pointer(parent).is_some_and(Value::is_array));
+    alone::<T>(value, at, &refused).or_else(|| alone::<T>(value, list?, &refused))
+}
+
+/// The field or item of the value at `at` that, alone in it, is refused alike.
+fn alone<T: DeserializeOwned>(value: &Value, at: &str, refused: &str) -> Option<String> {
+    let alike = |alone: Value| {
+        let mut copy = value.clone();
+        let Some(slot) = copy.pointer_mut(at) else { return false };
+        *slot = alone;
+        let text = copy.to_string();
+        let Some(other) = serde_json::from_str::<T>(&text).err() else { return false };
+        // The same error further on has another cause.
+        let end = Places::new(&text).find(at).map(|place| place.value.end);
+        detail(&other) == refused && end.is_some_and(|end| other.column() <= end)
+    };
+    let name = match value.pointer(at)? {
+        Value::Object(fields) => {
+            fields.iter().find(|(name, field)| alike(json!({ *name: field })))?.0.clone()
+        }
+        Value::Array(items) => items.iter().position(|item| alike(json!([item])))?.to_string(),
+        _ => return None,
+    };
+    Some(child(at, &name))
+}
+
+/// What an error says, without its place.
+fn detail(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    text.rsplit_once(" at line ").map_or(text.as_str(), |(detail, _)| detail).to_owned()
+}
+
 /// Types an error by the wording of serde, the only place that tells the kind.
 fn describe(error: &serde_json::Error, at: String) -> Fault {
-    let text = error.to_string();
-    let detail = text.rsplit_once(" at line ").map_or(text.as_str(), |(detail, _)| detail);
+    let detail = detail(error);
     let field = detail.split('`').nth(1).unwrap_or_default().to_owned();
     if detail.starts_with("unknown field `") {
         let named = at.rsplit('/').next() == child("", &field).get(1..);
@@ -72,7 +127,7 @@
     if detail.starts_with("missing field `") {
         return Fault::new(child(&at, &field), Reason::Missing { field });
     }
-    Fault::new(at, Reason::Shape { detail: detail.to_owned() })
+    Fault::new(at, Reason::Shape { detail })
 }
 
 /// Repairs one spot; false if nothing is left to try there.
--- a/components/settings/tests/faults.rs
+++ b/components/settings/tests/faults.rs
@@ -31,6 +31,25 @@
 struct Pool {
     name: String,
     size: u16,
+    #[allow(dead_code)]
+    #[serde(default, deserialize_with = "positive")]
+    weight: i32,
+    #[allow(dead_code)]
+    #[serde(default)]
+    places: Vec<Place>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Place(
+    #[allow(dead_code)]
+    #[serde(deserialize_with = "positive")]
+    i32,
+);
+
+/// Refuses a value after it was read, as unit adapters do.
+fn positive<'de, D: serde::Deserializer<'de>>(from: D) -> Result<i32, D::Error> {
+    let value = i32::deserialize(from)?;
+    if value < 0 { Err(serde::de::Error::custom("negative")) } else { Ok(value) }
 }
 
 impl Check for Settings {
@@ -125,6 +144,18 @@
     assert_eq!(found, expected);
 }
 
+#[test]
+fn parse_refused_after_reading() {
+    let text = r#"{"listen":"127.0.0.1:80","rate":0.1,"mode":"cold","pools":[
+        {"name":"a","size":1,"weight":-1},
+        {"name":"b","size":1,"weight":-2,"places":[4,-5,6]},
+        {"name":"c","size":1,"weight":3}]}"#;
+    let expected =
+        [("/pools/0/weight", "-1"), ("/pools/1/weight", "-2"), ("/pools/1/places/1", "-5")];
+    let found = marks(text);
+    assert_eq!(found, expected.map(|(at, mark)| (at.to_owned(), mark.to_owned())));
+}
+
 /// A stand-in for a wrong value must not give rise to faults of its own.
 #[test]
 fn parse_no_fault_on_stand_in() {
