Spread the platform calls of a fleet that one change answers

640 watches on one change rate: a change answers all waiting calls at one instant, and all called again at one instant.

--- /dev/null
+++ b/components/platform/examples/calls.rs
@@ -0,0 +1,208 @@
+//! Platform calls, delays and the return after an outage for a fleet of
+//! watches, with time and changes made up from a seed.
+//!
+//! `cargo run --release -p platform --example calls`
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use platform::watch::{Input, Output, Settings};
+use platform::{Changes, Error, Hosts, Update, Watch};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tables::Host;
+use tables::host::{Role, State};
+
+const NODES: u64 = 640;
+const WORKERS: usize = 12_000;
+const SPAN: Duration = Duration::from_secs(900);
+/// Changes of configuration a second: 67,000 a day.
+const CHANGES: f64 = 67_000.0 / 86_400.0;
+/// Changes of the host list a second: 4,272 hosts a day leave, go and come.
+const HOST_CHANGES: f64 = 4_272.0 * 3.0 / 86_400.0;
+const OUTAGE: [Duration; 2] = [Duration::from_secs(400), Duration::from_secs(460)];
+/// One way, in the node's region and between regions.
+const LATENCY: Duration = Duration::from_millis(5);
+
+/// What one run of the fleet counted.
+#[derive(Default)]
+struct Count {
+    tables: u64,
+    hosts: u64,
+    by_second: Vec<u64>,
+    delays: Vec<Duration>,
+}
+
+/// Times of changes; a change's revision is its place in the list, from 1.
+struct Platform {
+    changes: Vec<Duration>,
+    host_changes: Vec<Duration>,
+    outage: bool,
+}
+
+impl Platform {
+    fn new(rate: f64, outage: bool) -> Platform {
+        let mut rng = ChaCha8Rng::seed_from_u64(17);
+        let changes = times(&mut rng, rate);
+        Platform { changes, host_changes: times(&mut rng, HOST_CHANGES), outage }
+    }
+
+    fn is_out(&self, now: Duration) -> bool {
+        self.outage && now >= OUTAGE[0] && now < OUTAGE[1]
+    }
+
+    /// When a watch that arrives at `now` is answered, and with which revision.
+    fn answer(
+        &self,
+        changes: &[Duration],
+        now: Duration,
+        since: u64,
+        wait: Duration,
+    ) -> (Duration, Option<u64>) {
+        if self.is_out(now) {
+            return (now, None);
+        }
+        let index = usize::try_from(since).unwrap_or(usize::MAX);
+        let next = changes.get(index).copied().unwrap_or(Duration::MAX);
+        let at = next.max(now).min(now + wait);
+        if self.outage && now < OUTAGE[0] && at >= OUTAGE[0] {
+            return (OUTAGE[0], None);
+        }
+        (at, Some(changes.partition_point(|time| *time <= at) as u64))
+    }
+}
+
+fn times(rng: &mut ChaCha8Rng, rate: f64) -> Vec<Duration> {
+    let mut at = 0.0;
+    let mut times = Vec::new();
+    while at < SPAN.as_secs_f64() {
+        at -= (1.0 - rng.random::<f64>()).ln() / rate;
+        times.push(Duration::from_secs_f64(at));
+    }
+    times
+}
+
+fn run_node(platform: &Platform, settings: Settings, count: &mut Count) {
+    let mut watch = Watch::new(settings);
+    let mut calls: VecDeque<(Duration, Input)> = VecDeque::new();
+    let mut known = 0;
+    let mut now = Duration::ZERO;
+    let mut input = Input::Tick;
+    while now < SPAN {
+        for output in watch.step(now, input) {
+            if let Some(call) = call(platform, now, output, count) {
+                calls.push_back(call);
+            }
+        }
+        for revision in known..watch.revision() {
+            let change = platform.changes[usize::try_from(revision).unwrap_or(usize::MAX)];
+            count.delays.push(now.saturating_sub(change));
+        }
+        known = watch.revision();
+        calls.make_contiguous().sort_by_key(|(at, _)| *at);
+        let wake = watch.wake().unwrap_or(Duration::MAX);
+        (now, input) = match calls.front() {
+            Some((at, _)) if *at <= wake => calls.pop_front().unwrap_or((wake, Input::Tick)),
+            _ => (wake.max(now), Input::Tick),
+        };
+    }
+}
+
+/// Counts the call and says when it comes back, with what.
+fn call(
+    platform: &Platform,
+    now: Duration,
+    output: Output,
+    count: &mut Count,
+) -> Option<(Duration, Input)> {
+    let arrival = now + LATENCY;
+    let (at, input) = match output {
+        Output::Update(_) => return None,
+        Output::List => {
+            count.tables += 5;
+            let rows = |revision| Update::Listing { revision, rows: vec![], malformed: vec![] };
+            let (at, revision) = platform.answer(&platform.changes, arrival, 0, Duration::ZERO);
+            (at, Input::Listed(revision.map(rows).ok_or(Error::Unreachable)))
+        }
+        Output::Watch { since, wait } => {
+            count.tables += 1;
+            let changes = |revision| Changes { revision, changes: vec![] };
+            let (at, revision) = platform.answer(&platform.changes, arrival, since, wait);
+            (at, Input::Changed(revision.map(changes).ok_or(Error::Unreachable)))
+        }
+        Output::Hosts { since, wait } => {
+            count.hosts += 1;
+            let hosts = |revision| Hosts { revision, hosts: vec![] };
+            let wait = if since == 0 { Duration::ZERO } else { wait };
+            let (at, revision) = platform.answer(&platform.host_changes, arrival, since, wait);
+            (at, Input::Hosts(revision.map(hosts).ok_or(Error::Unreachable)))
+        }
+    };
+    let calls = if matches!(input, Input::Listed(_)) { 5 } else { 1 };
+    let second = usize::try_from(arrival.as_secs()).unwrap_or(usize::MAX);
+    if let Some(counter) = count.by_second.get_mut(second) {
+        *counter += calls;
+    }
+    Some((at + LATENCY, input))
+}
+
+fn run(rate: f64, interval: Duration, nodes: u64, outage: bool) -> Count {
+    let platform = Platform::new(rate, outage);
+    let seconds = usize::try_from(SPAN.as_secs()).unwrap_or_default() + 60;
+    let mut count = Count { by_second: vec![0; seconds], ..Count::default() };
+    for seed in 0..nodes {
+        let settings = Settings { interval, seed, ..Settings::default() };
+        run_node(&platform, settings, &mut count);
+    }
+    count.delays.sort();
+    count
+}
+
+fn percentile(delays: &[Duration], part: f64) -> f64 {
+    let index = (delays.len() as f64 * part) as usize;
+    delays.get(index.min(delays.len() - 1)).map_or(0.0, Duration::as_secs_f64)
+}
+
+fn main() {
+    let span = SPAN.as_secs_f64();
+    println!("{NODES} nodes, {span} s; calls a second; delay of a change in seconds");
+    println!("changes/s interval  tables/s  hosts/s  p50    p99    max");
+    for rate in [CHANGES, CHANGES * 10.0] {
+        for interval in [0_u64, 1, 2, 3] {
+            let count = run(rate, Duration::from_secs(interval), NODES, false);
+            println!(
+                "{rate:9.2} {interval:7} s {:9.0} {:8.0} {:6.2} {:6.2} {:6.2}",
+                count.tables as f64 / span,
+                count.hosts as f64 / span,
+                percentile(&count.delays, 0.5),
+                percentile(&count.delays, 0.99),
+                percentile(&count.delays, 1.0),
+            );
+        }
+    }
+    println!("\none node in ten watches, the others learn from their peers' frames");
+    let few = run(CHANGES, Duration::from_secs(1), NODES / 10, false);
+    println!("tables/s {:.0}, hosts/s {:.0}", few.tables as f64 / span, few.hosts as f64 / span);
+
+    println!("\noutage from {} s to {} s, interval 2 s", OUTAGE[0].as_secs(), OUTAGE[1].as_secs());
+    let count = run(CHANGES, Duration::from_secs(2), NODES, true);
+    let most = |from: usize, to: usize| count.by_second[from..to].iter().max().copied();
+    println!("most calls in a second before, in and after it:");
+    println!("{:?} {:?} {:?}", most(30, 399), most(405, 460), most(460, 480));
+    println!("all nodes started at once: {:?}", most(0, 30));
+
+    let hosts = Hosts { revision: 1, hosts: (0..WORKERS + 640).map(host).collect() };
+    let bytes = serde_json::to_string(&hosts).map_or(0, |text| text.len());
+    println!("\nhost list of {} hosts: {bytes} bytes a reply", hosts.hosts.len());
+}
+
+fn host(number: usize) -> Host {
+    Host {
+        name: format!("bench-{number:05}").into(),
+        role: Role::Server,
+        zone: format!("zone-{}", number % 42).into(),
+        link: format!("tcp://10.0.{}.{}:7000", number / 256, number % 256).into(),
+        pool: Some(format!("model-{}", number % 5).into()),
+        state: State::Live,
+    }
+}
--- a/components/platform/src/watch.rs
+++ b/components/platform/src/watch.rs
@@ -3,7 +3,8 @@
 //! Two lanes run side by side, one for the tables and one for the host list.
 //! Each has at most one call under way. A lane that succeeds calls again, but
 //! not before its interval has passed since its last call: changes that come
-//! meanwhile arrive together. A lane that fails calls again after a random
+//! meanwhile arrive together. Nodes that one change answered at one instant call
+//! again spread over an interval. A lane that fails calls again after a random
 //! part of a bound that doubles with each failure (full jitter, after Brooker,
 //! "Exponential Backoff and Jitter", 2015), so that all nodes of a fleet don't
 //! come back at once after an outage.
@@ -20,6 +21,10 @@
 /// Most doublings of the bound of the backoff.
 const DOUBLINGS: u32 = 16;
 
+/// Longest gap between the beginnings of two calls, in intervals, when changes
+/// come faster than the interval.
+const GAP_LIMIT: f64 = 1.5;
+
 /// How a watch paces its calls. Times are in milliseconds in JSON.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -214,7 +219,7 @@
             Ok(Update::Listing { revision, rows, malformed })
                 if revision >= self.tables.revision =>
             {
-                self.tables.succeed(now, revision, Duration::ZERO);
+                self.tables.succeed(now, revision, now);
                 self.listed = true;
                 outputs.push(Output::Update(Update::Listing { revision, rows, malformed }));
             }
@@ -233,7 +238,8 @@
         match result {
             Ok(changes) if changes.revision >= since => {
                 let newer = changes.revision > since;
-                self.tables.succeed(now, changes.revision, self.settings.interval);
+                let due = self.rearm(now, self.tables.begun, self.settings.interval);
+                self.tables.succeed(now, changes.revision, due);
                 if newer {
                     outputs.push(Output::Update(Update::of_changes(since, changes)));
                 }
@@ -252,7 +258,8 @@
         match result {
             Ok(Hosts { revision, hosts }) if revision >= self.hosts.revision => {
                 let newer = revision > self.hosts.revision || self.hosts.heard.is_none();
-                self.hosts.succeed(now, revision, self.settings.hosts_interval);
+                let due = self.rearm(now, self.hosts.begun, self.settings.hosts_interval);
+                self.hosts.succeed(now, revision, due);
                 if newer {
                     outputs.push(Output::Update(Update::Hosts { revision, hosts }));
                 }
@@ -290,6 +297,16 @@
         }
     }
 
+    /// When to call again after a good reply: one to one and a half intervals
+    /// after the last call began, and at a random time of the interval from
+    /// now. A change answers the waiting calls of all nodes at one instant, so
+    /// without the random parts all would call again at one instant, too.
+    fn rearm(&mut self, now: Duration, begun: Duration, interval: Duration) -> Duration {
+        let gap = interval.mul_f64(self.rng.random_range(1.0..GAP_LIMIT));
+        let spread = interval.mul_f64(self.rng.random::<f64>());
+        (begun + gap).max(now + spread)
+    }
+
     fn judge_age(&mut self, now: Duration, outputs: &mut Vec<Output>) {
         let fresh = self.stale_at().is_some_and(|stale_at| now < stale_at);
         if fresh != self.fresh {
@@ -335,11 +352,11 @@
         true
     }
 
-    fn succeed(&mut self, now: Duration, revision: u64, interval: Duration) {
+    fn succeed(&mut self, now: Duration, revision: u64, due: Duration) {
         self.heard = Some(now);
         self.failures = 0;
         self.revision = revision;
-        self.due = Some(now.max(self.begun + interval));
+        self.due = Some(due);
     }
 
     fn fail(&mut self, now: Duration, backoff: Duration) {
