Follow the host list by its changes

With `changes=1` the platform answers with the hosts that changed and the names that are gone: 160 bytes for one host. A platform that keeps no changes goes on answering with the whole list, and the reply says which it is. Ruled out: a longer interval alone, which would have had to be minutes.

--- a/components/lab/src/platform/handler.rs
+++ b/components/lab/src/platform/handler.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tables::{Host, Name};
 
-use super::shared::{Refusal, Shared};
+use super::shared::{Refusal, Shared, State};
 use super::watch::wait;
 use super::{Call, Fault};
 
@@ -35,6 +35,9 @@
     since: u64,
     #[serde(default)]
     wait_ms: u64,
+    /// 1 asks for changes alone where they are kept.
+    #[serde(default)]
+    changes: u8,
 }
 
 /// Adds the routes of the object API and of the controls.
@@ -132,11 +135,15 @@
     }
     let since = query.since;
     let time = Duration::from_millis(query.wait_ms);
+    let reply = |state: &State| match query.changes {
+        0 => state.store.hosts(),
+        _ => state.store.host_changes(since),
+    };
     let hosts = wait(
         &shared,
         time,
-        |state| Some(state.store.hosts()).filter(|hosts| since == 0 || hosts.revision > since),
-        |state| state.store.hosts(),
+        |state| Some(reply(state)).filter(|hosts| since == 0 || hosts.revision > since),
+        reply,
     );
     let hosts = hosts.await;
     delay(&shared).await;
--- a/components/lab/src/platform/store.rs
+++ b/components/lab/src/platform/store.rs
@@ -47,8 +47,10 @@
     history_limit: usize,
     forgotten: u64,
     page: usize,
-    hosts: BTreeMap<Name, Host>,
+    hosts: BTreeMap<Name, (u64, Host)>,
     hosts_revision: u64,
+    hosts_gone: VecDeque<(u64, Name)>,
+    hosts_forgotten: u64,
 }
 
 impl Store {
@@ -63,6 +65,8 @@
             page: settings.page.max(1),
             hosts: BTreeMap::new(),
             hosts_revision: 0,
+            hosts_gone: VecDeque::new(),
+            hosts_forgotten: 0,
         };
         for (kind, objects) in &settings.objects {
             for (name, value) in objects {
@@ -148,21 +152,44 @@
 
     /// The host list.
     pub fn hosts(&self) -> Hosts {
-        Hosts { revision: self.hosts_revision, hosts: self.hosts.values().cloned().collect() }
+        let hosts = self.hosts.values().map(|(_, host)| host.clone()).collect();
+        Hosts { revision: self.hosts_revision, hosts, ..Hosts::default() }
+    }
+
+    /// The changes of the host list after a revision; the whole list if they
+    /// are no longer kept.
+    pub fn host_changes(&self, since: u64) -> Hosts {
+        if since == 0 || since < self.hosts_forgotten || since > self.revision {
+            return self.hosts();
+        }
+        let changed = self.hosts.values().filter(|(version, _)| *version > since);
+        let gone = self.hosts_gone.iter().filter(|(version, _)| *version > since);
+        Hosts {
+            revision: self.hosts_revision,
+            since,
+            hosts: changed.map(|(_, host)| host.clone()).collect(),
+            gone: gone.map(|(_, name)| name.clone()).collect(),
+        }
     }
 
     /// Enters a host into the list, or changes it.
     pub fn put_host(&mut self, host: Host) -> u64 {
-        self.hosts.insert(host.name.clone(), host);
-        self.touch_hosts()
+        let version = self.touch_hosts();
+        self.hosts.insert(host.name.clone(), (version, host));
+        version
     }
 
     /// Removes a host from the list, if it is there.
     pub fn delete_host(&mut self, name: &str) -> u64 {
-        match self.hosts.remove(name) {
-            Some(_) => self.touch_hosts(),
-            None => self.hosts_revision,
+        let Some((_, host)) = self.hosts.remove(name) else { return self.hosts_revision };
+        let version = self.touch_hosts();
+        self.hosts_gone.push_back((version, host.name));
+        if self.hosts_gone.len() > self.history_limit
+            && let Some((oldest, _)) = self.hosts_gone.pop_front()
+        {
+            self.hosts_forgotten = oldest;
         }
+        version
     }
 
     fn touch_hosts(&mut self) -> u64 {
--- a/components/lab/tests/platform_follow.rs
+++ b/components/lab/tests/platform_follow.rs
@@ -130,3 +130,23 @@
     until(|| seen.table.borrow().revision() >= bad).await;
     assert!(seen.table.borrow().is_zone_out("a"));
 }
+
+#[actix_rt::test]
+async fn follow_hosts_by_changes_and_whole_when_forgotten() {
+    let hosts = (0..20).map(|number| host(&format!("s{number}"))).collect();
+    let (handle, client, seen) = start(Settings { hosts, history: 2, ..Settings::default() });
+    until(|| seen.hosts.borrow().len() == 20).await;
+    let since = handle.revision();
+    client.delete_host("s3").await.unwrap();
+    client.delete_host("s4").await.unwrap();
+    client.put_host(&host("s3")).await.unwrap();
+    let changes = client.hosts(since, Duration::ZERO).await.unwrap();
+    assert_eq!((changes.since, changes.hosts.len(), changes.gone.len()), (since, 1, 2));
+    until(|| seen.hosts.borrow().len() == 19).await;
+    for name in ["s5", "s6", "s7", "s8"] {
+        client.delete_host(name).await.unwrap();
+    }
+    let whole = client.hosts(since, Duration::ZERO).await.unwrap();
+    assert_eq!((whole.since, whole.hosts.len()), (0, 15));
+    until(|| seen.hosts.borrow().len() == 15).await;
+}
--- a/components/platform/examples/calls.rs
+++ b/components/platform/examples/calls.rs
@@ -132,7 +132,7 @@
         }
         Output::Hosts { since, wait } => {
             count.hosts += 1;
-            let hosts = |revision| Hosts { revision, hosts: vec![] };
+            let hosts = |revision| Hosts { revision, ..Hosts::default() };
             let wait = if since == 0 { Duration::ZERO } else { wait };
             let (at, revision) = platform.answer(&platform.host_changes, arrival, since, wait);
             (at, Input::Hosts(revision.map(hosts).ok_or(Error::Unreachable)))
@@ -191,9 +191,12 @@
     println!("{:?} {:?} {:?}", most(30, 399), most(405, 460), most(460, 480));
     println!("all nodes started at once: {:?}", most(0, 30));
 
-    let hosts = Hosts { revision: 1, hosts: (0..WORKERS + 640).map(host).collect() };
-    let bytes = serde_json::to_string(&hosts).map_or(0, |text| text.len());
-    println!("\nhost list of {} hosts: {bytes} bytes a reply", hosts.hosts.len());
+    let hosts =
+        Hosts { revision: 1, hosts: (0..WORKERS + 640).map(host).collect(), ..Hosts::default() };
+    let change = Hosts { since: 1, hosts: vec![host(1)], ..Hosts::default() };
+    let bytes = |hosts| serde_json::to_string(hosts).map_or(0, |text| text.len());
+    println!("\nhost list of {} hosts: {} bytes a reply", hosts.hosts.len(), bytes(&hosts));
+    println!("change of one host: {} bytes a reply", bytes(&change));
 }
 
 fn host(number: usize) -> Host {
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -114,9 +114,12 @@
         self.read(path, wait + self.timeout).await?.read()
     }
 
-    /// Waits up to `wait` for a host list after the revision `since`.
+    /// Waits up to `wait` for changes of the host list after the revision
+    /// `since`; 0 asks for the whole list at once.
+    ///
+    /// A platform that keeps no changes of the list answers with all of it.
     pub async fn hosts(&self, since: u64, wait: Duration) -> Result<Hosts, Error> {
-        let path = format!("/v1/hosts?since={since}&wait_ms={}", wait.as_millis());
+        let path = format!("/v1/hosts?since={since}&wait_ms={}&changes=1", wait.as_millis());
         self.read(path, wait + self.timeout).await?.read()
     }
 
--- a/components/platform/src/object.rs
+++ b/components/platform/src/object.rs
@@ -1,5 +1,7 @@
 //! Objects, listings and changes, as the platform's JSON shows them.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tables::{Host, Name};
@@ -104,11 +106,41 @@
     pub changes: Vec<Change>,
 }
 
-/// The host list. It lags behind reality.
+/// The host list, or what changed in it. It lags behind reality.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Hosts {
     /// The revision of the list's last change.
     pub revision: u64,
-    /// All hosts, in order of their names.
+    /// The revision after which these are the changes; 0 for the whole list.
+    #[serde(default)]
+    pub since: u64,
+    /// The hosts in order of their names, or those that changed.
     pub hosts: Vec<Host>,
+    /// Names of the hosts that are gone since then.
+    #[serde(default)]
+    pub gone: Vec<Name>,
+}
+
+impl Hosts {
+    /// Takes the reply into what was known at `revision`. Returns whether it
+    /// fits there; if not, nothing is changed.
+    ///
+    /// ```
+    /// let mut known = Default::default();
+    /// let hosts = platform::Hosts { since: 5, ..Default::default() };
+    /// assert!(!hosts.clone().apply(4, &mut known));
+    /// assert!(hosts.apply(5, &mut known));
+    /// ```
+    pub fn apply(self, revision: u64, known: &mut BTreeMap<Name, Host>) -> bool {
+        if self.since == 0 {
+            known.clear();
+        } else if self.since > revision {
+            return false;
+        }
+        for name in self.gone {
+            known.remove(&name);
+        }
+        known.extend(self.hosts.into_iter().map(|host| (host.name.clone(), host)));
+        true
+    }
 }
--- a/components/platform/src/watch.rs
+++ b/components/platform/src/watch.rs
@@ -9,12 +9,14 @@
 //! "Exponential Backoff and Jitter", 2015), so that all nodes of a fleet don't
 //! come back at once after an outage.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use tables::{Host, Name};
 
 use crate::{Changes, Error, Hosts, Update};
 
@@ -98,7 +100,7 @@
         /// The longest wait.
         wait: Duration,
     },
-    /// Wait for a host list after a revision.
+    /// Wait for changes of the host list after a revision.
     Hosts {
         /// The revision; 0 asks for the list at once.
         since: u64,
@@ -138,6 +140,7 @@
     rng: ChaCha8Rng,
     tables: Lane,
     hosts: Lane,
+    known: BTreeMap<Name, Host>,
     listed: bool,
     fresh: bool,
     counters: Counters,
@@ -167,6 +170,7 @@
             settings,
             tables: due(),
             hosts: due(),
+            known: BTreeMap::new(),
             listed: false,
             fresh: false,
             counters: Counters::default(),
@@ -256,11 +260,14 @@
         outputs: &mut Vec<Output>,
     ) {
         match result {
-            Ok(Hosts { revision, hosts }) if revision >= self.hosts.revision => {
+            Ok(hosts) if self.fits(&hosts) => {
+                let revision = hosts.revision;
                 let newer = revision > self.hosts.revision || self.hosts.heard.is_none();
+                hosts.apply(self.hosts.revision, &mut self.known);
                 let due = self.rearm(now, self.hosts.begun, self.settings.hosts_interval);
                 self.hosts.succeed(now, revision, due);
                 if newer {
+                    let hosts = self.known.values().cloned().collect();
                     outputs.push(Output::Update(Update::Hosts { revision, hosts }));
                 }
             }
@@ -272,6 +279,11 @@
         }
     }
 
+    /// Whether a reply is not older than what is known and leaves no gap.
+    fn fits(&self, hosts: &Hosts) -> bool {
+        hosts.revision >= self.hosts.revision && hosts.since <= self.hosts.revision
+    }
+
     /// No error means that the reply was older than what is known.
     fn fail_tables(&mut self, now: Duration, error: Option<Error>) {
         self.count_failure(error.is_none());
--- a/components/platform/tests/watch.rs
+++ b/components/platform/tests/watch.rs
@@ -39,7 +39,7 @@
 }
 
 fn hosts(revision: u64) -> Input {
-    Input::Hosts(Ok(Hosts { revision, hosts: vec![] }))
+    Input::Hosts(Ok(Hosts { revision, ..Hosts::default() }))
 }
 
 /// A watch that has listed at revision 10 and now waits on both lanes.
@@ -150,6 +150,34 @@
     assert_eq!(watch.counters().behind, 1);
 }
 
+#[test]
+fn step_host_changes_join_the_list() {
+    let host = |name: &str| {
+        let value = json!({"name": name, "role": "server", "zone": "accra-1",
+            "link": "tcp://127.0.0.1:9", "pool": "fit", "state": "live"});
+        serde_json::from_value::<tables::Host>(value).unwrap()
+    };
+    let names = |outputs: &[Output]| -> Vec<String> {
+        let hosts = outputs.iter().find_map(|output| match output {
+            Output::Update(Update::Hosts { hosts, .. }) => Some(hosts.clone()),
+            _ => None,
+        });
+        hosts.unwrap_or_default().iter().map(|host| host.name.to_string()).collect()
+    };
+    let reply =
+        |revision, since, hosts, gone| Input::Hosts(Ok(Hosts { revision, since, hosts, gone }));
+    let mut watch = Watch::new(settings());
+    watch.step(ms(0), Input::Tick);
+    let outputs = watch.step(ms(0), reply(3, 0, vec![host("a"), host("b")], vec![]));
+    assert_eq!(names(&outputs), ["a", "b"]);
+    let outputs = watch.step(ms(1), reply(5, 3, vec![host("c")], vec!["a".into()]));
+    assert_eq!(names(&outputs), ["b", "c"]);
+    let outputs = watch.step(ms(2), reply(9, 7, vec![host("d")], vec![]));
+    assert_eq!(names(&outputs), [""; 0], "a gap before the changes");
+    let outputs = watch.step(ms(3), reply(9, 0, vec![host("d")], vec![]));
+    assert_eq!(names(&outputs), ["d"]);
+}
+
 #[rstest]
 #[case::unreachable(Error::Unreachable, ms(0))]
 #[case::busy(Error::Busy { retry_after: ms(4000) }, ms(4000))]
