--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -12,7 +12,7 @@
 use crate::report::View;
 
 /// Number of random candidates that are compared.
-pub const SAMPLE: usize = 3;
+pub const SAMPLE: usize = 2;
 /// Time to compute one prompt token.
 pub const PREFILL_TOKEN: Duration = Duration::from_micros(50);
 /// Time that one running request adds to the first token of another.
