Walk at random over the faults with the promises as checks

Cause: the promises had no proof under failure. Plain services keep their fixed limit, since their work differs from request to request.

--- a/components/admission/src/gate/admit.rs
+++ b/components/admission/src/gate/admit.rs
@@ -62,7 +62,7 @@
         if self.runs_alone() {
             return;
         }
-        while (self.active.len() as u32) < self.limit.current(now) {
+        while self.has_room(now) {
             let Some(item) = self.queue.pop(now) else { return };
             self.start(now, item.ticket, outputs);
         }
--- a/components/admission/src/gate/arrive.rs
+++ b/components/admission/src/gate/arrive.rs
@@ -89,9 +89,9 @@
             return Some((Reason::Poison, None));
         }
         let wait = self.queue.wait(now, dispatch.class, &dispatch.account);
-        let full = self.active.len() as u32 >= self.limit.current(now);
+        let full = !self.has_room(now);
         if full && wait >= dispatch.remaining {
-            let reason = if self.limit.is_cold(now) { Reason::Cold } else { Reason::Late };
+            let reason = if self.is_cold(now) { Reason::Cold } else { Reason::Late };
             return Some((reason, Some(wait.max(RETRY_AFTER))));
         }
         None
--- a/components/admission/src/gate/message.rs
+++ b/components/admission/src/gate/message.rs
@@ -90,6 +90,8 @@
     Unreachable,
     /// Whether operators took the backend server or its zone out.
     Out(bool),
+    /// Most requests that the warm backend server runs at once.
+    Limit(u32),
     /// What is known of requests that crash servers, by fingerprint.
     Suspects(HashMap<u64, Standing>),
     /// The process has been told to stop.
--- a/components/admission/src/gate/mod.rs
+++ b/components/admission/src/gate/mod.rs
@@ -56,13 +56,9 @@
 impl Gate {
     /// A gate before a server about which nothing is known.
     pub fn new(now: Duration, options: Options) -> Gate {
-        let mut limit = Limit::new(now, options.limit);
-        if options.cold {
-            limit.restart(now);
-        }
         Gate {
+            limit: Limit::new(now, options.limit),
             options,
-            limit,
             queue: Queue::new(QUEUE_LIMIT),
             alone: VecDeque::new(),
             attempts: HashMap::new(),
@@ -93,6 +89,7 @@
             }
             Input::Unreachable => self.unreachable(now, &mut outputs),
             Input::Out(out) => self.out = out,
+            Input::Limit(limit) => self.set_limit(now, limit),
             Input::Suspects(suspects) => self.suspects = suspects,
             Input::Leave => self.leave(now, &mut outputs),
             Input::Tick => self.tick(now, &mut outputs),
@@ -107,10 +104,10 @@
         Report {
             running: self.active.len() as u32,
             queued: self.queue.len() as u32,
-            limit: self.limit.current(now),
+            limit: self.most(now),
             prefill: self.prefill,
             first_token: self.queue.wait(now, wire::Class::Interactive, ""),
-            cold: self.limit.is_cold(now),
+            cold: self.is_cold(now),
             leaving: self.leaving || self.out,
         }
     }
@@ -139,8 +136,8 @@
         json!({
             "out": self.out,
             "leaving": self.leaving,
-            "limit": self.limit.current(now),
-            "cold": self.limit.is_cold(now),
+            "limit": self.most(now),
+            "cold": self.is_cold(now),
             "running": self.active.len(),
             "queued": self.queue.len(),
             "engine_incarnation": self.engine,
@@ -164,16 +161,49 @@
         let Some(attempt) = self.tickets.get(&ticket).and_then(|id| self.attempts.get(id)) else {
             return;
         };
-        // A cancelled attempt says nothing of the server's health.
-        if !matches!(attempt.stage, Stage::Running | Stage::Checking)
-            || (!ok && attempt.stage == Stage::Running)
-        {
-            return;
+        match attempt.stage {
+            Stage::Checking if attempt.first.is_none() => {
+                let waited = now.saturating_sub(attempt.started);
+                self.limit.complete(now, running, waited, false);
+            }
+            Stage::Running if ok => {
+                self.queue.observe(now, now.saturating_sub(attempt.started));
+            }
+            // A cancelled attempt says nothing of the server's health.
+            _ => {}
         }
-        let first = attempt.first.unwrap_or(now).saturating_sub(attempt.started);
-        self.limit.complete(now, running, first, ok);
-        if ok {
-            self.queue.observe(now, now.saturating_sub(attempt.started));
+    }
+
+    /// Most requests that may run at once now. Only engines, which start cold,
+    /// are judged by their latency; the work of plain services differs too
+    /// much from request to request.
+    fn most(&self, now: Duration) -> u32 {
+        if self.options.cold { self.limit.current(now) } else { self.options.limit }
+    }
+
+    /// Whether one more request may start now.
+    fn has_room(&self, now: Duration) -> bool {
+        let running = self.active.len() as u32;
+        if !self.options.cold {
+            return running < self.options.limit;
+        }
+        let waits = |ticket: &&u64| {
+            let attempt = self.tickets.get(*ticket).and_then(|id| self.attempts.get(id));
+            attempt.is_some_and(|attempt| attempt.first.is_none())
+        };
+        let pending = self.active.iter().filter(waits).count() as u32;
+        self.limit.admits(now, running, pending)
+    }
+
+    fn is_cold(&self, now: Duration) -> bool {
+        self.options.cold && self.limit.is_cold(now)
+    }
+
+    /// Takes a new limit into force; an engine proves itself again under it.
+    fn set_limit(&mut self, now: Duration, limit: u32) {
+        if limit != self.options.limit {
+            self.options.limit = limit;
+            self.limit = Limit::new(now, limit);
         }
     }
 
--- a/components/admission/src/gate/serve.rs
+++ b/components/admission/src/gate/serve.rs
@@ -28,9 +28,15 @@
                 outputs.push(Output::Send(link, Message::Head(head)));
             }
             Event::Data { events, data } => {
+                let begins = attempt.first.is_none();
+                let waited = now.saturating_sub(attempt.started);
                 attempt.first.get_or_insert(now);
                 let chunk = attempt.extend(events, data);
                 outputs.push(Output::Send(link, Message::Chunk(chunk)));
+                if begins {
+                    let running = self.active.len() as u32;
+                    self.limit.complete(now, running, waited, true);
+                }
             }
             Event::Done => self.done(now, ticket, outputs),
             Event::Failed { handed: false } => {
--- a/components/admission/src/gate/settle.rs
+++ b/components/admission/src/gate/settle.rs
@@ -28,9 +28,7 @@
 
     pub(super) fn crashed(&mut self, now: Duration, outputs: &mut Vec<Output>) {
         self.counters.crashes += 1;
-        if self.options.cold {
-            self.limit.restart(now);
-        }
+        self.limit.restart(now);
         let mut blamed = Vec::new();
         for attempt in self.attempts.values() {
             if attempt.stage == Stage::Checking {
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -220,6 +220,9 @@
         let out = table.is_zone_out(&self.options.zone) || table.is_server_out(&self.options.name);
         self.out = out;
         let suspects = suspect::standings(table);
+        if let Some(pool) = table.pool(&self.options.pool) {
+            work.push_back(gate::Input::Limit(pool.limit));
+        }
         work.push_back(gate::Input::Out(out));
         work.push_back(gate::Input::Suspects(suspects));
     }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -188,7 +188,9 @@
 
     fn handle(&mut self, news: News, _: &mut Context<Core>) {
         match news.0 {
-            Update::Listing { revision, rows, .. } => self.step(Input::Listing(revision, rows)),
+            Update::Listing { revision, rows, malformed } => {
+                self.step(Input::Listing { revision, rows, malformed });
+            }
             Update::Delta { delta, .. } => self.step(Input::Delta(delta)),
             Update::Hosts { revision, hosts } => self.step(Input::Hosts(revision, hosts)),
             Update::Stale => log::warn!("the platform is silent; the tables may be old"),
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -158,7 +158,8 @@
 }
 
 fn timeout(request: &HttpRequest) -> Result<Option<Duration>, Code> {
-    let Some(value) = header(request, TIMEOUT_HEADER) else { return Ok(None) };
+    let Some(value) = request.headers().get(TIMEOUT_HEADER) else { return Ok(None) };
+    let value = value.to_str().map_err(|_| Code::Malformed)?;
     let milliseconds: u64 = value.parse().map_err(|_| Code::Malformed)?;
     Ok(Some(Duration::from_millis(milliseconds)))
 }
--- a/components/routing/src/router/mod.rs
+++ b/components/routing/src/router/mod.rs
@@ -51,8 +51,15 @@
     HungUp(RequestId),
     /// The platform says which rows changed.
     Delta(Delta),
-    /// The platform lists all rows at a revision.
-    Listing(u64, Vec<(Key, Row)>),
+    /// The platform lists all rows.
+    Listing {
+        /// The revision of the listing.
+        revision: u64,
+        /// The rows.
+        rows: Vec<(Key, Row)>,
+        /// Rows that could not be decoded.
+        malformed: Vec<Key>,
+    },
     /// The platform's host list at a revision.
     Hosts(u64, Vec<Host>),
     /// The process has been told to stop.
@@ -186,9 +193,9 @@
                 let changed = self.gossip.watched(delta);
                 self.configured(changed);
             }
-            Input::Listing(revision, rows) => {
+            Input::Listing { revision, rows, malformed } => {
                 self.platform_seen = true;
-                let changed = self.gossip.listed(revision, rows);
+                let changed = self.gossip.listed(revision, rows, malformed);
                 self.configured(changed);
             }
             Input::Hosts(revision, hosts) => self.update_hosts(revision, hosts, &mut outputs),
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -74,8 +74,18 @@
         self.table.merge(Delta { since, revision, rows: delta.rows })
     }
 
-    /// Takes in a complete listing from the platform.
-    pub fn listed(&mut self, revision: u64, rows: Vec<(Key, Row)>) -> bool {
+    /// Takes in a complete listing from the platform. Rows that could not be
+    /// decoded are there, and what is known of them stays.
+    pub fn listed(
+        &mut self,
+        revision: u64,
+        mut rows: Vec<(Key, Row)>,
+        malformed: Vec<Key>,
+    ) -> bool {
+        for key in malformed {
+            let row = self.table.row(&key).cloned();
+            rows.extend(row.map(|row| (key, row)));
+        }
         let known = self.table.content();
         let listed: BTreeSet<&Key> = rows.iter().map(|(key, _)| key).collect();
         if known.keys().all(|key| listed.contains(key)) {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,8 @@
-//! Shared parts of the system tests: real daemons on loopback.
+//! Shared parts of the system tests: real daemons on loopback, and a world of
+//! the shipping state machines in fake time.
 
 pub mod caller;
 pub mod cluster;
 pub mod port;
 pub mod process;
+pub mod world;
--- /dev/null
+++ b/tests/tests/scenarios.rs
@@ -0,0 +1,12 @@
+//! Runs each script of `scenarios/` against the shipping state machines.
+#![allow(clippy::unwrap_used)]
+
+use std::path::PathBuf;
+
+use rstest::rstest;
+use system::world::script::Script;
+
+#[rstest]
+fn scenario(#[files("scenarios/*.script")] path: PathBuf) {
+    goldenscript::run(&mut Script::default(), path).unwrap();
+}
