--- a/tests/src/world/script.rs
+++ b/tests/src/world/script.rs
@@ -86,6 +86,47 @@
             let key = args.take_key("key");
             world.send(request, via, route, key, body);
         }
+        "send-many" => {
+            let number: usize = next("number")?.parse()?;
+            let prefix = next("prefix")?;
+            let via = args.take_key("via").ok_or(Fault::Missing("via"))?;
+            let route = args.take_key("route").ok_or(Fault::Missing("route"))?;
+            let body = args.take_key("body").unwrap_or("hello");
+            let gap = time(args.take_key("gap").ok_or(Fault::Missing("gap"))?)?;
+            let entries: Vec<&str> = via.split(',').collect();
+            for index in 0..number {
+                let entry = entries[index % entries.len()];
+                // A body with # differs from request to request.
+                let body = body.replace('#', &index.to_string());
+                world.send(&format!("{prefix}{index}"), entry, route, None, &body);
+                world.run(gap);
+            }
+        }
+        "tally" => {
+            let prefix = next("prefix")?;
+            let mut tally = std::collections::BTreeMap::new();
+            for (_, caller) in world.callers.iter().filter(|(name, _)| name.starts_with(prefix)) {
+                *tally.entry(caller.show()).or_insert(0u32) += 1;
+            }
+            output = tally.iter().map(|(end, count)| format!("{count} {end}\n")).collect();
+        }
+        "last" => {
+            let number: usize = next("number")?.parse()?;
+            let prefix = next("prefix")?;
+            let names = world.callers.iter().filter(|(name, _)| name.starts_with(prefix));
+            let mut ends: Vec<(std::time::Duration, String)> =
+                names.map(|(_, caller)| (caller.sent, caller.show())).collect();
+            ends.sort();
+            let ends: std::collections::BTreeSet<String> =
+                ends.into_iter().rev().take(number).map(|(_, end)| end).collect();
+            output = ends.into_iter().map(|end| format!("{end}\n")).collect();
+        }
+        "blind" => world.blind(&next("entry")?.into(), true),
+        "see" => world.blind(&next("entry")?.into(), false),
+        "unlist" => world.list(&next("host")?.into(), false),
+        "list" => world.list(&next("host")?.into(), true),
+        "server-out" => world.set_server(next("server")?, true),
+        "server-return" => world.set_server(next("server")?, false),
         "show" => {
             for request in args.by_ref() {
                 let name = request.to_string();
--- /dev/null
+++ b/tests/tests/edge.rs
@@ -0,0 +1,206 @@
+//! Requests and frames that are wrong: a typed refusal, and nothing else.
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::ClientRequest;
+use lab::{engine, service};
+use rstest::rstest;
+use system::caller::{self, Reply};
+use system::cluster::{Cluster, Plan, metric, wait_for};
+use tables::Name;
+
+/// Largest body that an entry takes, in bytes: the settings' default.
+const BODY_LIMIT: usize = 1 << 20;
+/// Bytes of a header that is larger than an entry passes on.
+const HEADER: usize = 40 << 10;
+/// What a booking contains that is never answered.
+const HANG: &str = "hangs";
+/// Time that a booking takes.
+const BOOKING: Duration = Duration::from_millis(1500);
+
+fn plan() -> Plan {
+    let service =
+        service::Settings { delay: BOOKING, hang_marker: Some(HANG.into()), ..Default::default() };
+    Plan { entries: vec!["entry-1", "entry-2"], service, ..Plan::default() }
+}
+
+fn assert_problem(reply: &Reply, status: u16, ran: &str) {
+    assert_eq!(reply.status, status, "{}", String::from_utf8_lossy(&reply.body));
+    assert!(reply.whole);
+    assert_eq!(reply.content_type.as_deref(), Some("application/problem+json"));
+    assert_eq!(reply.ran().as_deref(), Some(ran), "{:?}", reply.json());
+    assert_eq!(reply.json()["status"], status);
+    assert!(reply.json()["request"].is_string());
+}
+
+/// What a caller does wrong.
+#[derive(Clone, Copy, Debug)]
+enum Wrong {
+    Json,
+    NoModel,
+    NoBearer,
+    Bearer,
+    Route,
+    Model,
+    Body,
+    Header,
+    Timeout,
+    TimeoutBytes,
+    Key,
+}
+
+fn request(url: &str, wrong: Wrong) -> (ClientRequest, String) {
+    let client = caller::client();
+    let chat = format!("{url}/v1/chat/completions");
+    let book = client.post(format!("{url}/book")).insert_header(("idempotency-key", "key-1"));
+    let bench = || "bench 4".to_owned();
+    match wrong {
+        Wrong::Json => (client.post(chat), "{\"model\": \"fitter\"".to_owned()),
+        Wrong::NoModel => (client.post(chat), "{\"messages\": []}".to_owned()),
+        Wrong::Model => (client.post(chat), "{\"model\": \"none\", \"messages\": []}".to_owned()),
+        Wrong::NoBearer => (book.insert_header(("authorization", "Basic eDp5")), bench()),
+        Wrong::Bearer => (book.insert_header(("authorization", "Bearer of-nobody")), bench()),
+        Wrong::Route => (client.post(format!("{url}/elsewhere")), bench()),
+        Wrong::Body => (book, "x".repeat(BODY_LIMIT + 1)),
+        Wrong::Header => (book.insert_header(("x-note", "x".repeat(HEADER))), bench()),
+        Wrong::Timeout => (book.insert_header(("x-request-timeout-ms", "soon")), bench()),
+        Wrong::TimeoutBytes => {
+            let bytes = awc::http::header::HeaderValue::from_bytes(b"1\xff").unwrap();
+            (book.insert_header(("x-request-timeout-ms", bytes)), bench())
+        }
+        Wrong::Key => (book.insert_header(("idempotency-key", "k".repeat(257))), bench()),
+    }
+}
+
+/// All the wrong requests go to one cluster: none may disturb the next.
+#[actix_rt::test]
+async fn refuse_wrong_requests() {
+    let cluster = Cluster::start(plan()).await;
+    let url = cluster.url("entry-1");
+    let cases = [
+        (Wrong::Json, 400),
+        (Wrong::NoModel, 400),
+        (Wrong::NoBearer, 401),
+        (Wrong::Bearer, 401),
+        (Wrong::Route, 404),
+        (Wrong::Model, 404),
+        (Wrong::Body, 413),
+        (Wrong::Header, 413),
+        (Wrong::Timeout, 400),
+        (Wrong::TimeoutBytes, 400),
+        (Wrong::Key, 400),
+    ];
+    for (wrong, status) in cases {
+        let (request, body) = request(&url, wrong);
+        let reply = caller::read(request, body).await.expect("a reply");
+        assert_problem(&reply, status, "not_run");
+        assert_eq!(reply.retry_after, None, "{wrong:?} fares no better later");
+    }
+    assert!(cluster.services["service-1"].runs().is_empty());
+    for agent in ["engine-1", "service-1"] {
+        assert_eq!(cluster.counter(agent, "dispatched").await, 0);
+    }
+    // A body of just the limit is taken.
+    let body = "x".repeat(BODY_LIMIT);
+    let reply = caller::book(&url, "key-2", &body).await.unwrap();
+    assert_eq!(reply.body, service::expected("/book", body.as_bytes()).into_bytes());
+}
+
+#[actix_rt::test]
+async fn tell_resends_apart() {
+    let cluster = Cluster::start(plan()).await;
+    let url = cluster.url("entry-1");
+    let first = actix_rt::spawn(async move { caller::book(&url, "key-1", "bench 4").await });
+    wait_for("a run of the booking", || async { (cluster.runs("key-1") == 1).then_some(()) }).await;
+    // While the first runs, or after it on a slow machine.
+    let again = caller::book(&cluster.url("entry-2"), "key-1", "bench 4").await.unwrap();
+    if again.status == 200 {
+        assert_eq!(again.body, service::expected("/book", b"bench 4").into_bytes());
+    } else {
+        assert_problem(&again, 409, "may_have_run");
+        assert_eq!(again.reason().as_deref(), Some("running"));
+        assert!(again.retry_after.is_some());
+    }
+    let first = first.await.unwrap().unwrap();
+    assert_eq!(first.body, service::expected("/book", b"bench 4").into_bytes());
+
+    for entry in ["entry-1", "entry-2"] {
+        let other = caller::book(&cluster.url(entry), "key-1", "bench 5").await.unwrap();
+        assert_problem(&other, 422, "not_run");
+        assert_eq!(other.reason().as_deref(), Some("mismatch"));
+    }
+    assert_eq!(cluster.runs("key-1"), 1);
+}
+
+#[rstest]
+#[case::short("300", 300)]
+#[case::none("0", 0)]
+#[actix_rt::test]
+async fn keep_deadline(#[case] header: &'static str, #[case] limit_ms: u64) {
+    let cluster = Cluster::start(plan()).await;
+    let url = format!("{}/book", cluster.url("entry-1"));
+    let request = caller::client().post(url).insert_header(("idempotency-key", "key-1"));
+    let request = request.insert_header(("x-request-timeout-ms", header));
+    let sent = Instant::now();
+    let reply = caller::read(request, format!("bench 4 {HANG}")).await.unwrap();
+    let took = sent.elapsed();
+    assert!(took >= Duration::from_millis(limit_ms));
+    let not_run = reply.ran().as_deref() == Some("not_run");
+    assert_problem(&reply, 504, if not_run { "not_run" } else { "may_have_run" });
+    assert_eq!(reply.reason().as_deref(), Some("deadline"));
+    assert!(reply.retry_after.is_some());
+    // The route's own limit is a minute.
+    assert!(took < Duration::from_secs(30), "{took:?}");
+    assert!(!not_run || cluster.runs("key-1") == 0);
+}
+
+fn throw(link: &Name, frame: &[u8]) {
+    let socket = nng::Socket::new(nng::Protocol::Push0).unwrap();
+    socket.dial(link).unwrap();
+    socket.send(frame).unwrap();
+    // The socket sends what it holds before it closes, if it is left alone.
+    std::thread::sleep(Duration::from_millis(100));
+    socket.close();
+}
+
+async fn wait_for_malformed(operations: SocketAddr, name: &str, count: usize) {
+    wait_for("the count of malformed frames", || async {
+        (metric(operations, name).await? >= count as f64).then_some(())
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn drop_malformed_frames() {
+    let cluster = Cluster::start(plan()).await;
+    let url = cluster.url("entry-1");
+    let prompt = "a wide foot";
+    let sent = url.clone();
+    let stream = actix_rt::spawn(async move { caller::chat(&sent, prompt, 100).await });
+    cluster.wait_for_events("entry-1", 1, 1).await;
+
+    let sender =
+        wire::Sender { name: "x".into(), incarnation: 1, link: "tcp://127.0.0.1:9".into() };
+    let frame = wire::Frame { sender, revision: 0, messages: vec![wire::Message::Heartbeat] };
+    let whole = wire::encode(&frame).unwrap();
+    let mut version = whole.clone();
+    version[0] = wire::VERSION + 1;
+    let long = [&whole[..], b"more"].concat();
+    let frames: [&[u8]; 5] = [b"", b"not a frame", &whole[..whole.len() - 1], &version, &long];
+    let entry = &cluster.entries["entry-1"];
+    let agent = &cluster.agents["engine-1"];
+    for frame in frames {
+        throw(&entry.link, frame);
+        throw(&agent.link, frame);
+    }
+    wait_for_malformed(entry.operations, "entry_frames_malformed", frames.len()).await;
+    wait_for_malformed(agent.operations, "agent_frames_malformed", frames.len()).await;
+
+    let reply = stream.await.unwrap().unwrap();
+    assert!(reply.whole);
+    assert_eq!(reply.chat(), (engine::expected(prompt, 100), true));
+    let reply = caller::book(&url, "key-1", "bench 4").await.unwrap();
+    assert_eq!(reply.status, 200);
+}
