--- a/components/group/tests/search.rs
+++ b/components/group/tests/search.rs
@@ -22,13 +22,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     world: World,
+    /// How often the timeouts of each rank may still run out.
+    ticks: Vec<u32>,
     change: bool,
     agent: bool,
     engine: bool,
 }
 
 impl State {
-    /// A first leader has sealed all ranks and granted a first block.
+    /// All ranks have run a first block, and one of them a second one.
     fn new(ranks: u16, obeys: bool) -> State {
         let mut world = World::new(world::settings(ranks, 1), |_| obeys);
         for rank in 0..usize::from(ranks) {
@@ -41,11 +43,18 @@
         world.now = Duration::ZERO;
         world.settle(1);
         world.supply();
-        while world.maps.is_empty() {
+        while world.maps.len() < 2 {
             world.deliver(0);
             world.settle(1);
         }
-        State { world, change: true, agent: true, engine: true }
+        // The others learn of the first number, so that they stand at once.
+        world.now = LATE;
+        for rank in 1..usize::from(ranks) {
+            world.input(rank, Input::Tick);
+            world.settle(1);
+        }
+        world.now = Duration::ZERO;
+        State { world, ticks: vec![2; usize::from(ranks)], change: true, agent: true, engine: true }
     }
 
     fn next(&self) -> Vec<State> {
@@ -55,7 +64,9 @@
             states.push(self.with(|state| state.world.deliver(index)));
         }
         for rank in 0..self.world.agents.len() {
-            states.extend(self.tick(rank));
+            if self.ticks[rank] > 0 {
+                states.extend(self.tick(rank));
+            }
             if self.agent {
                 for arrive in [false, true] {
                     states.push(self.with(|state| state.restart(rank, arrive)));
@@ -91,7 +102,8 @@
     /// All timeouts of a rank run out; at most two numbers are taken.
     fn tick(&self, rank: usize) -> Option<State> {
         let state = self.with(|state| {
-            state.world.now = LATE;
+            state.world.now = LATE * (4 - state.ticks[rank]);
+            state.ticks[rank] -= 1;
             state.world.input(rank, Input::Tick);
             state.world.now = Duration::ZERO;
         });
@@ -120,16 +132,26 @@
 }
 
 #[rstest]
-#[case::leader_and_map(2, true, false, 11)]
-#[case::leader_and_agent(2, false, true, 7)]
-#[case::three_ranks(3, true, false, 6)]
+#[case::leader_and_map(2, 2, true, false, 9)]
+#[case::leader_and_restart(2, 2, false, true, 6)]
+#[case::restart_alone(2, 1, false, true, 8)]
+#[case::three_ranks(3, 3, true, false, 6)]
 fn search_orders(
     #[case] ranks: u16,
+    #[case] ticks: usize,
     #[case] change: bool,
     #[case] restart: bool,
     #[case] depth: u32,
 ) {
-    let start = State { change, agent: restart, engine: restart, ..State::new(ranks, false) };
+    let counts = (0..usize::from(ranks)).map(|rank| if rank < ticks { 2 } else { 0 }).collect();
+    let start = State {
+        ticks: counts,
+        change,
+        agent: restart,
+        engine: restart,
+        ..State::new(ranks, false)
+    };
+    let mut leaders = 0;
     let mut seen = HashSet::from([key(&start)]);
     let mut states = vec![start];
     for level in 1..=depth {
@@ -139,6 +161,7 @@
                 continue;
             }
             for next in state.next() {
+                leaders = leaders.max(next.world.object.unwrap().lease.number);
                 if seen.insert(key(&next)) {
                     following.push(next);
                 }
@@ -150,5 +173,6 @@
             seen.len()
         );
     }
+    assert_eq!(leaders, 2, "no change of leader was met");
     assert!(seen.len() > 1000, "only {} states", seen.len());
 }
