--- a/components/lab/tests/engine_http.rs
+++ b/components/lab/tests/engine_http.rs
@@ -74,9 +74,12 @@
         assert!(marked.body().await.is_err());
     }
     let mut reader = Reader::default();
-    while let Some(Ok(bytes)) = victim.next().await {
-        reader.push(&bytes).unwrap();
-    }
+    let rest = async {
+        while let Some(Ok(bytes)) = victim.next().await {
+            reader.push(&bytes).unwrap();
+        }
+    };
+    actix_rt::time::timeout(DEADLINE, rest).await.unwrap();
     assert!(!reader.done);
     assert_eq!(load(&engine).await.incarnation, before + 1);
     let again = chat(&engine).send_json(&body("which liner", 2, false)).await.unwrap();
--- a/components/lab/tests/service.rs
+++ b/components/lab/tests/service.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::Client;
 use lab::service::{KEY_HEADER, RUN_ID_HEADER, Settings, expected, serve};
@@ -56,7 +56,9 @@
         }
     };
     let hanging = actix_rt::spawn(post("hang", "wait for it"));
+    let started = Instant::now();
     while !service.runs().contains_key("hang") {
+        assert!(started.elapsed() < DEADLINE);
         actix_rt::time::sleep(Duration::from_millis(5)).await;
     }
     assert!(!post("crash", "go boom").await);
