Say may_have_run when a server breaks off before its answer

Cause: the HTTP client counts a connection that closes before its answer among the failures to connect, so a booking that ran was told as not run. Before: book_at_service_that_breaks_off got not_run. Also: the queue keeps the last places for accounts without a backlog, and the shares of cached prompts are looked up once for each request.

--- a/components/admission/src/gate/admit.rs
+++ b/components/admission/src/gate/admit.rs
@@ -16,6 +16,7 @@
 impl Gate {
     pub(super) fn leave(&mut self, now: Duration, outputs: &mut Vec<Output>) {
         self.leaving = true;
+        self.tell_watchers(now, outputs);
         while let Some(item) = self.queue.pop(now) {
             self.refuse(now, item.ticket, Reason::Leaving, Ran::NotRun, Some(RETRY_AFTER), outputs);
         }
@@ -63,7 +64,9 @@
             return;
         }
         while self.has_room(now) {
-            let Some(item) = self.queue.pop(now) else { return };
+            let running = self.active.len() as u32;
+            let most = self.most(now);
+            let Some(item) = self.queue.next(now, running, most) else { return };
             self.start(now, item.ticket, outputs);
         }
     }
--- a/components/admission/src/gate/arrive.rs
+++ b/components/admission/src/gate/arrive.rs
@@ -25,6 +25,7 @@
             Message::Resend(resend) => self.resend(now, sender, resend, outputs),
             Message::Ack(cancel) => self.forget(&cancel),
             Message::Heartbeat => {
+                self.watchers.insert(sender.link.clone(), now);
                 let report = Message::Report(self.report(now));
                 outputs.push(Output::Send(sender.link.clone(), report));
             }
--- a/components/admission/src/gate/mod.rs
+++ b/components/admission/src/gate/mod.rs
@@ -14,10 +14,11 @@
 mod serve;
 mod settle;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde_json::json;
+use tables::Name;
 use wire::{Cancel, Dispatch, Message, Ran, Reason, Refusal, Report};
 
 use crate::attempt::{Attempt, Stage};
@@ -29,6 +30,8 @@
 
 /// Longest time after which a caller is told to come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Silence after which an entry is not told of changes any more.
+const WATCHER_LIMIT: Duration = Duration::from_secs(60);
 /// Most attempts that wait.
 const QUEUE_LIMIT: usize = 256;
 /// Most attempts in a state dump.
@@ -51,6 +54,8 @@
     out: bool,
     leaving: bool,
     drained: bool,
+    /// Entries that send heartbeats, and when each last did.
+    watchers: BTreeMap<Name, Duration>,
     counters: Counters,
 }
 impl Gate {
@@ -72,6 +77,7 @@
             out: false,
             leaving: false,
             drained: false,
+            watchers: BTreeMap::new(),
             counters: Counters::default(),
         }
     }
@@ -88,7 +94,7 @@
                 self.engine(now, incarnation, &mut outputs);
             }
             Input::Unreachable => self.unreachable(now, &mut outputs),
-            Input::Out(out) => self.out = out,
+            Input::Out(out) => self.set_out(now, out, &mut outputs),
             Input::Limit(limit) => self.set_limit(now, limit),
             Input::Suspects(suspects) => self.suspects = suspects,
             Input::Leave => self.leave(now, &mut outputs),
@@ -199,6 +205,21 @@
         self.options.cold && self.limit.is_cold(now)
     }
 
+    fn set_out(&mut self, now: Duration, out: bool, outputs: &mut Vec<Output>) {
+        if out != self.out {
+            self.out = out;
+            self.tell_watchers(now, outputs);
+        }
+    }
+
+    /// Tells all entries at once whether work is taken here.
+    fn tell_watchers(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        self.watchers.retain(|_, last| now.saturating_sub(*last) < WATCHER_LIMIT);
+        let report = Message::Report(self.report(now));
+        let links = self.watchers.keys().cloned();
+        outputs.extend(links.map(|link| Output::Send(link, report.clone())));
+    }
+
     /// Takes a new limit into force; an engine proves itself again under it.
     fn set_limit(&mut self, now: Duration, limit: u32) {
         if limit != self.options.limit {
--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -4,7 +4,7 @@
 
 use admission::gate::Event;
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -105,9 +105,14 @@
     kept
 }
 
-/// Whether any of the request may have reached the server.
+/// Whether any of the request may have reached the server. The library counts
+/// a connection that closes before its answer among the failures to connect.
 fn was_handed(error: &SendRequestError) -> bool {
-    !matches!(error, SendRequestError::Connect(_) | SendRequestError::Url(_))
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => true,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => false,
+        _ => true,
+    }
 }
 
 /// A client for calls to the backend server.
--- a/components/routing/src/router/choose.rs
+++ b/components/routing/src/router/choose.rs
@@ -88,13 +88,14 @@
     }
 
     fn best(&self, now: Duration, request: &Request, members: &[&Member]) -> Option<usize> {
+        let shares = self.prefix.shares(now, &request.blocks);
         let candidate = |member: &&Member| Candidate {
             server: member.host.name.clone(),
             same_zone: member.host.zone == self.options.zone,
             spare: true,
             view: self.members.view(now, &member.host.name),
             in_flight: self.members.book.in_flight(&member.host.name),
-            cached: self.prefix.hit(now, &member.host.name, &request.blocks),
+            cached: shares.get(&member.host.name).copied().unwrap_or(0.0),
         };
         let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
         // The rng is cloned, since members borrow the router; its stream goes
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -261,7 +261,8 @@
             wait_for("all agents heard", || async {
                 let dump = dump(entry.operations).await?;
                 let members = dump["members"].as_array()?;
-                let heard = members.iter().filter(|member| member["report"].is_object()).count();
+                let takes_work = |member: &&Value| member["report"]["leaving"] == false;
+                let heard = members.iter().filter(takes_work).count();
                 (heard == agents).then_some(())
             })
             .await;
--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -26,3 +26,19 @@
     let runs = cluster.services["service-1"].runs();
     assert_eq!(runs.get("key-1"), Some(&1));
 }
+
+/// A service that ran a booking and then broke the connection: the answer must
+/// not say that it has not run, and a resend must not run it again.
+#[actix_rt::test]
+async fn book_at_service_that_breaks_off() {
+    let service = service::Settings { crash_marker: Some("break".into()), ..Default::default() };
+    let cluster = Cluster::start(Plan { service, ..Plan::default() }).await;
+    let url = cluster.url("entry-1");
+
+    let reply = caller::book(&url, "key-1", "break after running").await.unwrap();
+    assert_eq!(reply.ran().as_deref(), Some("may_have_run"));
+    let reply = caller::book(&url, "key-1", "break after running").await.unwrap();
+    assert_eq!(reply.ran().as_deref(), Some("may_have_run"));
+    let runs = cluster.services["service-1"].runs();
+    assert_eq!(runs.get("key-1"), Some(&1));
+}
