Join the rank group's state machine into the agent

Cause: the machine that keeps one expert map per step was tested alone and ran in no daemon. An agent with `group` in its settings now feeds it: messages go over the links and count only if they come from the link of the member that they name, orders reach the engine one at a time, the engine's status is polled, the fencing number is the platform's object group/NAME, the leader reads map/NAME no more often than each second.

A failed order to run steps ends the life of the rank (Input::Lost): it asks to be sealed again and the leader goes on beyond all steps granted. Making a new state machine with a higher incarnation was ruled out, as it would forget the highest fencing number and need the platform.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -11,11 +11,15 @@
 use wire::{Frame, Link};
 
 use crate::meter::Meter;
+use crate::rank;
+use crate::rank_actor::Member;
 use crate::state::{Effect, Input, State};
 use crate::{backend, health, storage};
 
 /// Time between two ticks of the state.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two ticks of the rank.
+const RANK_TICK: Duration = Duration::from_millis(50);
 /// Time for which parts of answers are gathered into one frame.
 const FLUSH: Duration = Duration::from_millis(2);
 /// Time between two updates of the metrics.
@@ -40,11 +44,12 @@
 /// The actor.
 pub struct Core {
     state: State,
-    link: Link,
+    pub(crate) link: Link,
     meter: Meter,
-    callees: Callees,
+    pub(crate) callees: Callees,
+    pub(crate) member: Option<Member>,
     calls: HashMap<u64, JoinHandle<()>>,
-    started: Instant,
+    pub(crate) started: Instant,
     drained: Option<oneshot::Sender<()>>,
 }
 
@@ -77,13 +82,21 @@
 pub struct Dump;
 
 impl Core {
-    /// An actor around a state.
-    pub fn new(state: State, link: Link, meter: Meter, callees: Callees) -> Core {
+    /// An actor around a state, and around a rank if the backend server is one
+    /// of a group.
+    pub fn new(
+        state: State,
+        link: Link,
+        meter: Meter,
+        callees: Callees,
+        member: Option<Member>,
+    ) -> Core {
         Core {
             state,
             link,
             meter,
             callees,
+            member,
             calls: HashMap::new(),
             started: Instant::now(),
             drained: None,
@@ -132,7 +145,8 @@
         let core = context.address();
         let event = move |event| core.do_send(News(Input::Event(ticket, event)));
         let client = self.callees.backend.clone();
-        let call = backend::run(client, self.callees.base.clone(), dispatch, event);
+        let (base, kind) = (self.callees.base.clone(), self.callees.kind);
+        let call = backend::run(client, base, kind, dispatch, event);
         self.calls.insert(ticket, actix_rt::spawn(call));
     }
 
@@ -160,11 +174,19 @@
         context.set_mailbox_capacity(1 << 16);
         self.check(context);
         context.run_interval(TICK, |core, context| core.step(Input::Tick, context));
+        if self.member.is_some() {
+            context.run_interval(RANK_TICK, |core, context| {
+                core.step_rank(rank::Input::Tick, context);
+            });
+        }
         context.run_interval(FLUSH, |core, _| core.link.flush(core.state.revision()));
         context.run_interval(self.callees.check, |core, context| core.check(context));
         context.run_interval(SHOW, |core, _| {
             core.calls.retain(|_, call| !call.is_finished());
             let report = core.state.report(core.started.elapsed());
+            if let Some(member) = &core.member {
+                member.show();
+            }
             core.meter.show(&core.state.counters(), &report, core.state.revision());
         });
     }
@@ -181,7 +203,8 @@
 impl Handler<Inbound> for Core {
     type Result = ();
 
-    fn handle(&mut self, inbound: Inbound, context: &mut Context<Core>) {
+    fn handle(&mut self, mut inbound: Inbound, context: &mut Context<Core>) {
+        self.take_group(&mut inbound.0, context);
         self.step(Input::Frame(inbound.0), context);
     }
 }
@@ -192,6 +215,7 @@
     fn handle(&mut self, leave: Leave, context: &mut Context<Core>) {
         log::info!("leaving");
         self.drained = Some(leave.drained);
+        self.step_rank(rank::Input::Resign, context);
         self.step(Input::Leave, context);
     }
 }
@@ -208,6 +232,10 @@
     type Result = actix::MessageResult<Dump>;
 
     fn handle(&mut self, _: Dump, _: &mut Context<Core>) -> Self::Result {
-        actix::MessageResult(self.state.dump(self.started.elapsed()))
+        let mut dump = self.state.dump(self.started.elapsed());
+        if let Some(member) = &self.member {
+            dump["group"] = member.dump();
+        }
+        actix::MessageResult(dump)
     }
 }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,13 +3,18 @@
 mod backend;
 mod core;
 mod health;
+mod membership;
 mod meter;
 mod operations;
+mod orders;
+pub mod rank;
+mod rank_actor;
 mod run;
 mod settings;
 mod state;
 mod storage;
 
+pub use membership::Membership;
 pub use run::{Error, run};
 pub use settings::Settings;
 pub use state::{Effect, Input, Options, State};
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -13,6 +13,8 @@
 use crate::core::{Callees, Core, Inbound, Leave};
 use crate::meter::Meter;
 use crate::operations;
+use crate::rank::Rank;
+use crate::rank_actor::Member;
 use crate::settings::Settings;
 use crate::state::{Options, State};
 
@@ -80,7 +82,11 @@
     let inbound = context.address();
     let link = Link::open(sender, move |frame| inbound.do_send(Inbound(frame)))?;
     let state = State::new(Duration::ZERO, options);
-    Ok(context.run(Core::new(state, link, Meter::new(metrics), callees)))
+    let member = settings.group.as_ref().map(|membership| {
+        let rank = Rank::new(Duration::ZERO, incarnation, membership.clone());
+        Member::new(rank, membership.name.clone(), metrics)
+    });
+    Ok(context.run(Core::new(state, link, Meter::new(metrics), callees, member)))
 }
 
 /// Refuses new work and waits until the open work is answered.
--- a/components/agent/src/settings.rs
+++ b/components/agent/src/settings.rs
@@ -8,6 +8,8 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tables::{Name, PoolKind};
 
+use crate::membership::Membership;
+
 /// Settings of the agent daemon, read from JSON. Times are in milliseconds.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -54,6 +56,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_ms", default = "default_drain")]
     pub drain: Duration,
+    /// The rank group of the backend server, if it is a rank of one.
+    #[serde(default)]
+    pub group: Option<Membership>,
 }
 
 fn default_platform_timeout() -> Duration {
@@ -96,6 +101,10 @@
         }
         faults.extend(Fault::outside("/limit", f64::from(self.limit), 1.0..=4096.0));
         faults.extend(Fault::outside("/partitions", f64::from(self.partitions), 1.0..=1024.0));
+        if let Some(group) = &self.group {
+            let inner = group.faults(&self.link);
+            faults.extend(inner.into_iter().map(|fault| fault.under("/group")));
+        }
         faults
     }
 }
--- a/components/group/src/agent.rs
+++ b/components/group/src/agent.rs
@@ -71,6 +71,8 @@
     Prepared(u64, u64),
     /// The engine of this incarnation is to run this step next.
     Ran(u64, u64),
+    /// The engine may not have taken an order to run steps.
+    Lost,
     /// The content of the expert map to use from now on; for the leader.
     Change(Bytes),
     /// A planned stop: hand over and never lead again.
@@ -183,6 +185,11 @@
             }
             Input::Prepared(engine, version) => self.member.prepared(engine, version),
             Input::Ran(engine, next) => self.member.ran(engine, next),
+            Input::Lost => {
+                self.greeted = None;
+                self.member.lose();
+                Vec::new()
+            }
             Input::Change(content) => {
                 self.leader.as_mut().map_or_else(Vec::new, |leader| leader.change(content))
             }
--- a/components/group/src/member.rs
+++ b/components/group/src/member.rs
@@ -71,6 +71,11 @@
         self.heard
     }
 
+    /// The present life of the rank.
+    pub fn session(&self) -> Session {
+        self.session
+    }
+
     /// The furthest block granted in this life of the rank.
     pub fn furthest(&self) -> Option<Block> {
         self.furthest
@@ -110,6 +115,18 @@
         }
         self.engine = true;
         self.session.engine = engine;
+        self.begin_life();
+    }
+
+    /// It is unknown whether the engine took what it was granted, so the rank
+    /// begins a new life as if its agent had started anew. The highest fencing
+    /// number stays known.
+    pub fn lose(&mut self) {
+        self.session.agent += 1;
+        self.begin_life();
+    }
+
+    fn begin_life(&mut self) {
         self.sealed = false;
         self.furthest = None;
         self.done = 0;
--- a/components/group/tests/unit.rs
+++ b/components/group/tests/unit.rs
@@ -12,6 +12,7 @@
 
 const FENCE: Fence = Fence { number: 3, round: 1 };
 const SESSION: Session = Session { agent: 1, engine: 1 };
+const LATER: Session = Session { agent: 2, engine: 1 };
 const BLOCK: Block = Block { from: 8, to: 12, map: 5 };
 
 fn send(agent: &mut Agent, fence: Fence, body: Body) -> Vec<Output> {
@@ -76,6 +77,27 @@
     assert_eq!(agent.member.is_sealed(), expected);
 }
 
+/// A rank that may have missed steps takes no grant of its former life, and
+/// asks to be sealed again.
+#[test]
+fn grant_after_lost_order() {
+    let mut agent = sealed();
+    assert_eq!(agent.step(Duration::ZERO, Input::Lost), vec![]);
+    let grant = Body::Grant { session: SESSION, block: BLOCK };
+    assert_eq!(runs(&send(&mut agent, FENCE, grant)), 0);
+    let hello = |output: &Output| match output {
+        Output::Send { message, .. } => message.body == Body::Hello { session: LATER },
+        _ => false,
+    };
+    assert!(agent.step(Duration::ZERO, Input::Tick).iter().any(hello));
+    // Lower numbers stay refused.
+    let old = send(&mut agent, Fence { number: 2, round: 0 }, Body::Seal);
+    assert!(matches!(&old[..], [Output::Send { message, .. }] if message.body == Body::Refused));
+    let outputs = send(&mut agent, Fence { round: 2, ..FENCE }, Body::Seal);
+    let report = Body::Sealed { session: LATER, furthest: None, prepared: vec![] };
+    assert!(matches!(&outputs[..], [Output::Send { message, .. }] if message.body == report));
+}
+
 #[test]
 fn restart_of_engine() {
     let mut agent = sealed();
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod cluster;
 pub mod port;
 pub mod process;
+pub mod ranks;
 pub mod world;
