Tell a model engine's broken answer from a whole one

Cause: the HTTP client takes a closed connection for the end of a body. A stream of a model engine is now whole only with its last event, and a body with a stated length only at that length. A chunked body of a plain service can still be cut off unseen between two chunks; the client library does not tell.

An engine that answers 503, since it is starting, passed that on as the caller's answer, in a resumed stream as a part of it. The attempt is now refused as not run, and another engine takes it.

Frames that an agent could not decode were counted but not shown: they are metrics now, as on entries.

--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -8,7 +8,7 @@
 use awc::http::Method;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use tables::Name;
+use tables::{Name, PoolKind};
 use wire::Dispatch;
 
 /// Content type of streamed answers.
@@ -19,6 +19,10 @@
 const EVENT_LIMIT: usize = 1 << 20;
 /// Header with the number of tokens of a broken stream that the caller has.
 const RESUME_HEADER: &str = "x-resume-tokens";
+/// Last event of a model engine's stream.
+const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
+/// Status of a model engine that takes no request, since it is starting.
+const UNAVAILABLE: u16 = 503;
 /// Header with the caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
 /// Headers of an answer that concern only the connection to the server.
@@ -27,14 +31,26 @@
 
 /// Runs a request and tells `event` what happens, ending with `Done` or
 /// `Failed`.
-pub async fn run(client: Client, base: Name, dispatch: Dispatch, event: impl Fn(Event)) {
+pub async fn run(
+    client: Client,
+    base: Name,
+    kind: PoolKind,
+    dispatch: Dispatch,
+    event: impl Fn(Event),
+) {
     let limit = dispatch.remaining;
-    let call = exchange(client, base, dispatch, &event);
+    let call = exchange(client, base, kind, dispatch, &event);
     let ended = actix_rt::time::timeout(limit, call).await;
     event(ended.unwrap_or(Event::Failed { handed: true }));
 }
 
-async fn exchange(client: Client, base: Name, dispatch: Dispatch, event: &impl Fn(Event)) -> Event {
+async fn exchange(
+    client: Client,
+    base: Name,
+    kind: PoolKind,
+    dispatch: Dispatch,
+    event: &impl Fn(Event),
+) -> Event {
     let Ok(method) = Method::from_bytes(dispatch.method.as_bytes()) else {
         return Event::Failed { handed: false };
     };
@@ -54,20 +70,32 @@
         Ok(response) => response,
         Err(error) => return Event::Failed { handed: was_handed(&error) },
     };
+    let status = response.status().as_u16();
+    // Another engine may take it. A plain service's status is its own answer.
+    if kind == PoolKind::Model && status == UNAVAILABLE {
+        return Event::Failed { handed: false };
+    }
     let headers = headers(response.headers());
     let streamed = headers.iter().any(|(name, value)| {
         name.eq_ignore_ascii_case("content-type") && value.starts_with(EVENT_STREAM)
     });
-    event(Event::Head { status: response.status().as_u16(), headers });
+    let length = length(response.headers());
+    event(Event::Head { status, headers });
     let mut pending = BytesMut::new();
+    let mut size = 0;
+    // The client takes a closed connection for the end of a body, so what can
+    // be known of the end is checked here.
+    let mut ended = kind != PoolKind::Model || !streamed;
     while let Some(chunk) = response.next().await {
         let Ok(data) = chunk else { return Event::Failed { handed: true } };
+        size += data.len();
         if !streamed {
             event(Event::Data { events: 0, data });
             continue;
         }
         pending.extend_from_slice(&data);
         if let Some((events, data)) = whole_events(&mut pending) {
+            ended |= data.ends_with(LAST_EVENT);
             event(Event::Data { events, data });
         }
         if pending.len() > EVENT_LIMIT {
@@ -75,7 +103,13 @@
         }
     }
     // A stream that ends within an event was broken off.
-    if pending.is_empty() { Event::Done } else { Event::Failed { handed: true } }
+    let whole = ended && pending.is_empty() && length.is_none_or(|length| length == size);
+    if whole { Event::Done } else { Event::Failed { handed: true } }
+}
+
+/// The length of a body, if its head states it.
+fn length(headers: &awc::http::header::HeaderMap) -> Option<usize> {
+    headers.get("content-length")?.to_str().ok()?.parse().ok()
 }
 
 /// Takes all whole events out of the pending bytes, and counts them.
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -188,6 +188,7 @@
                 member.show();
             }
             core.meter.show(&core.state.counters(), &report, core.state.revision());
+            core.meter.show_links(&core.link.counters());
         });
     }
 }
--- a/components/agent/src/meter.rs
+++ b/components/agent/src/meter.rs
@@ -17,6 +17,9 @@
     queued: Gauge,
     limit: Gauge,
     revision: Gauge,
+    received: Gauge,
+    malformed: Gauge,
+    dropped: Gauge,
 }
 
 impl Meter {
@@ -35,6 +38,9 @@
             queued: gauge("agent_queued", "Attempts that wait"),
             limit: gauge("agent_limit", "Attempts that may run at once"),
             revision: gauge("agent_revision", "Revision of the configuration in force"),
+            received: gauge("agent_frames_received", "Frames that arrived"),
+            malformed: gauge("agent_frames_malformed", "Frames that could not be decoded"),
+            dropped: gauge("agent_frames_dropped", "Frames that a peer did not take"),
         }
     }
 
@@ -52,4 +58,12 @@
         self.limit.set(f64::from(report.limit));
         self.revision.set(revision as f64);
     }
+
+    /// Shows the counters of the links.
+    pub fn show_links(&self, counters: &wire::Counters) {
+        use std::sync::atomic::Ordering::Relaxed;
+        self.received.set(counters.received.load(Relaxed) as f64);
+        self.malformed.set(counters.malformed.load(Relaxed) as f64);
+        self.dropped.set(counters.dropped.load(Relaxed) as f64);
+    }
 }
