Let the test of late peers need the outbox

Cause: with the flush forgetting peers that still wait, the test passed, since nng itself held its two frames. With 500 frames it fails then, as it should.

--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -10,6 +10,8 @@
 
 /// Longest wait for frames; passing runs take a fraction of it.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// More frames than nng itself holds for one peer.
+const MANY: u64 = 500;
 
 fn address() -> Name {
     let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
@@ -60,19 +62,22 @@
 fn flush_keeps_frames_for_peer_that_starts_late() {
     let late = address();
     let (mut link, _) = open(&address());
-    link.push(&late, Message::Pull(1)).unwrap();
-    link.flush(7);
-    link.push(&late, Message::Pull(2)).unwrap();
-    link.flush(7);
+    // More than nng itself holds, so that the outbox is needed.
+    for number in 0..MANY {
+        link.push(&late, Message::Pull(number)).unwrap();
+        link.flush(7);
+    }
+    assert!(link.backlog() > 0);
     let (_late, received) = open(&late);
-    assert_eq!(collect(&mut link, &received, 2), [Message::Pull(1), Message::Pull(2)]);
+    let expected: Vec<Message> = (0..MANY).map(Message::Pull).collect();
+    assert_eq!(collect(&mut link, &received, MANY as usize), expected);
 }
 
 #[test]
 fn forget_drops_what_waits() {
     let nobody = address();
     let (mut link, _) = open(&address());
-    for number in 0..500 {
+    for number in 0..MANY {
         link.push(&nobody, Message::Pull(number)).unwrap();
         link.flush(7);
     }
