Let operators look at suspects and delete evidence

Cause: a request condemned for crashing servers stayed so for ever; after a mended engine nobody could let it run again.

--- a/bins/wisteria/src/action.rs
+++ b/bins/wisteria/src/action.rs
@@ -25,6 +25,14 @@
     Show,
 }
 
+/// What to do with the evidence against requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Review {
+    List,
+    Show,
+    Delete,
+}
+
 /// Whether something goes out of service or comes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
@@ -58,6 +66,19 @@
     }
 }
 
+impl FromStr for Review {
+    type Err = ActionError;
+
+    fn from_str(text: &str) -> Result<Review, ActionError> {
+        match text {
+            "list" => Ok(Review::List),
+            "show" => Ok(Review::Show),
+            "delete" => Ok(Review::Delete),
+            _ => Err(ActionError { expected: "list, show or delete" }),
+        }
+    }
+}
+
 impl FromStr for Service {
     type Err = ActionError;
 
--- a/bins/wisteria/src/cmd.rs
+++ b/bins/wisteria/src/cmd.rs
@@ -10,6 +10,7 @@
 pub mod server;
 pub mod servers;
 pub mod status;
+pub mod suspects;
 pub mod zone;
 pub mod zones;
 
--- a/bins/wisteria/src/flags.rs
+++ b/bins/wisteria/src/flags.rs
@@ -7,7 +7,7 @@
 
 use std::path::PathBuf;
 
-use crate::action::{Edit, Service, View};
+use crate::action::{Edit, Review, Service, View};
 
 xflags::xflags! {
     src "./src/flags.rs"
@@ -75,6 +75,14 @@
             /// The name.
             optional name: String
         }
+        /// List or show requests that crashed backend servers, or delete the
+        /// evidence against one, so that it may run again.
+        cmd suspects {
+            /// list | show FINGERPRINT | delete FINGERPRINT
+            required action: Review
+            /// The fingerprint, as `list` shows it.
+            optional name: String
+        }
         /// Take an availability zone out of service, or return it.
         cmd zone {
             /// out | return
@@ -127,6 +135,7 @@
     Accounts(Accounts),
     Zones(Zones),
     Servers(Servers),
+    Suspects(Suspects),
     Zone(Zone),
     Server(Server),
     Apply(Apply),
@@ -174,6 +183,12 @@
     pub name: Option<String>,
 }
 
+#[derive(Debug)]
+pub struct Suspects {
+    pub action: Review,
+    pub name: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct Zone {
     pub action: Service,
--- a/bins/wisteria/src/main.rs
+++ b/bins/wisteria/src/main.rs
@@ -21,6 +21,7 @@
         WisteriaCmd::Accounts(accounts) => cmd::accounts::run(&context, accounts).await,
         WisteriaCmd::Zones(zones) => cmd::zones::run(&context, zones).await,
         WisteriaCmd::Servers(servers) => cmd::servers::run(&context, servers).await,
+        WisteriaCmd::Suspects(suspects) => cmd::suspects::run(&context, suspects).await,
         WisteriaCmd::Apply(apply) => cmd::apply::run(&context, apply).await,
         WisteriaCmd::Zone(zone) => cmd::zone::run(&context, zone).await,
         WisteriaCmd::Server(server) => cmd::server::run(&context, server).await,
--- a/tests/tests/operator.rs
+++ b/tests/tests/operator.rs
@@ -23,6 +23,7 @@
             "pool": {"fit": {"kind": "model", "limit": 8}},
             "route": {"advice": route("/advice", "fit")},
             "zone": {"accra-1": {"out": false}},
+            "suspect": {"00000000000000ff": {"crashes": 3, "condemned": true}},
         });
         let host = json!({"name": "bench-1", "role": "server", "zone": "kumasi-1",
             "link": "tcp://127.0.0.1:9", "pool": "fit", "state": "live"});
@@ -327,3 +328,14 @@
     let ran = system.run(&["--help"]);
     assert!(ran.code == 0 && ran.out.contains("Exit codes"), "{ran:?}");
 }
+
+#[test]
+fn delete_suspect() {
+    let system = System::start("suspect", &[]);
+    let listed = system.run(&["--json", "suspects", "list"]);
+    assert!(listed.out.contains("00000000000000ff"), "{}", listed.out);
+    assert_eq!(system.run(&["suspects", "delete", "00000000000000ff"]).code, 0);
+    let listed = system.run(&["--json", "suspects", "list"]);
+    assert!(!listed.out.contains("00000000000000ff"), "{}", listed.out);
+    assert_eq!(system.run(&["suspects", "pardon", "00000000000000ff"]).code, 2);
+}
