Compare policies by experiments, and bench the system with its targets

Nothing ran the measures of the design together, and no baseline was checked against the targets. `wisteria-lab experiment` runs the placement, choice, limit and flood code under named policies and the same seeds, and writes a table, JSON lines and plots; `wisteria-lab bench` adds the targets, runs real daemons while a zone leaves and returns, and compares calls with and without an entry. A target counts as met only if every seed keeps it. `make bench` also measures processor time and memory of real processes.

`make demo` builds only what it runs, without optimisation: one build less. The platform stand-in starts its server as the others do, so the start stands once.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 bench: tools
 	$(CARGO) build --release --workspace --bins
 	target/release/wisteria-lab bench --out target/bench
+	sh components/lab/bench/processes.sh target/release target/bench
 
-demo: tools build
-	$(CARGO) build --release --bin wisteria-lab
-	target/release/wisteria-lab demo
+demo: tools
+	$(CARGO) build --bin wisteria-lab
+	target/debug/wisteria-lab demo
--- a/bins/wisteria-lab/src/cmd/flags.rs
+++ b/bins/wisteria-lab/src/cmd/flags.rs
@@ -37,6 +37,25 @@
             /// Seed of the load (1).
             optional --seed seed: u64
         }
+        /// Measure all figures, print them with their targets, and write them
+        /// to bench.jsonl. A missed target is printed and is no failure.
+        cmd bench {
+            /// Directory for the results (target/bench).
+            optional --out directory: PathBuf
+            /// One seed and short runs, only to see that it works.
+            optional --quick
+        }
+        /// Run the deciding code against small fakes and compare policies.
+        ///
+        /// Writes experiment.jsonl and a plot of each measure.
+        cmd experiment {
+            /// Settings in JSON.
+            required file: PathBuf
+            /// Directory for the results (target/experiment).
+            optional --out directory: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
         /// Send an open-loop load to an entry and print JSON lines.
         ///
         /// Exit code 1 if an answer was lost or wrong.
--- a/bins/wisteria-lab/src/cmd/mod.rs
+++ b/bins/wisteria-lab/src/cmd/mod.rs
@@ -1,8 +1,11 @@
 //! The commands, a file each.
 
+pub mod bench;
 pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod flags;
 pub mod load;
 pub mod platform;
+pub mod result;
 pub mod service;
--- a/bins/wisteria-lab/src/main.rs
+++ b/bins/wisteria-lab/src/main.rs
@@ -1,4 +1,4 @@
-//! The development tool: stand-ins and load.
+//! The development tool: stand-ins, load, bench and experiments.
 
 mod cmd;
 
@@ -15,6 +15,8 @@
         LabCmd::Platform(flags) => cmd::platform::run(flags),
         LabCmd::Engine(flags) => cmd::engine::run(flags),
         LabCmd::Service(flags) => cmd::service::run(flags),
+        LabCmd::Bench(flags) => cmd::bench::run(flags),
+        LabCmd::Experiment(flags) => cmd::experiment::run(flags),
         LabCmd::Load(flags) => cmd::load::run(flags),
         LabCmd::Demo(flags) => cmd::demo::run(flags),
     }
--- a/components/lab/src/demo.rs
+++ b/components/lab/src/demo.rs
@@ -2,26 +2,23 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use ::platform::{Client, Expect};
 use serde::Serialize;
-use serde_json::json;
 use tables::Name;
 
 use crate::fleet::{Error, Fleet, KEY, Plan};
 use crate::load::{self, Count, Kind, Tally, Target};
+use crate::outage::{self, Times};
 
-/// Time from the start of the load until the zone is taken out.
-const OUT_AT: Duration = Duration::from_secs(3);
-/// Time after which a zone that was taken out gets no new work.
-const OUT_LIMIT: Duration = Duration::from_secs(3);
-/// Time from the start of the load until the zone is returned.
-const BACK_AT: Duration = Duration::from_secs(9);
+/// When the zone leaves and returns.
+const TIMES: Times = Times {
+    out_at: Duration::from_secs(3),
+    settle: Duration::from_secs(3),
+    back_at: Duration::from_secs(9),
+};
 /// Time during which requests start.
 const LENGTH: Duration = Duration::from_secs(14);
 /// Requests a second to each entry.
 const RATE: f64 = 20.0;
-/// Longest wait for the platform.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What the demonstration shows.
 #[derive(Clone, Debug, Serialize)]
@@ -77,7 +74,7 @@
         async move { load::run(&plan, target, |_| ()).await }
     });
     let loads = futures_util::future::join_all(loads);
-    let (tallies, begun_while_out) = futures_util::join!(loads, out_and_back(&fleet, &zone));
+    let (tallies, begun_while_out) = futures_util::join!(loads, outage::run(&fleet, &zone, TIMES));
     let doubled = fleet.doubled();
     fleet.stop();
     Ok(report(&tallies, doubled, begun_while_out))
@@ -88,28 +85,6 @@
     load::Plan { seed, epoch, rate: RATE, length: LENGTH, ..load::Plan::default() }
 }
 
-/// Takes a zone out and back, and counts what began there meanwhile, from the
-/// moment on after which nothing may.
-async fn out_and_back(fleet: &Fleet, zone: &Name) -> u64 {
-    let client = Client::new(vec![fleet.platform.url()], PLATFORM_TIMEOUT);
-    actix_rt::time::sleep(OUT_AT).await;
-    set_out(&client, zone, true).await;
-    actix_rt::time::sleep(OUT_LIMIT).await;
-    let before = fleet.begun(zone).await;
-    actix_rt::time::sleep(BACK_AT - OUT_AT - OUT_LIMIT).await;
-    let after = fleet.begun(zone).await;
-    set_out(&client, zone, false).await;
-    after - before
-}
-
-async fn set_out(client: &Client, zone: &Name, out: bool) {
-    let known = client.get("zone", zone).await.ok().flatten();
-    let expect = Expect::of(known.as_ref());
-    if let Err(error) = client.put("zone", zone, expect, &json!({ "out": out })).await {
-        log::error!("zone {zone}: {error}");
-    }
-}
-
 fn report(tallies: &[Tally], doubled: u64, begun_while_out: u64) -> Report {
     let mut count = Count::default();
     let (mut first, mut gap) = (0.0f64, 0.0f64);
--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -56,10 +56,7 @@
 /// Why a fleet can't be started or asked.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum Error {
-    /// The platform's stand-in can't be started.
-    #[error(transparent)]
-    Platform(#[from] platform::ServeError),
-    /// Another stand-in can't be started.
+    /// A stand-in can't be started.
     #[error(transparent)]
     Stand(#[from] crate::ServeError),
     /// The settings of a daemon don't fit its type.
