Bound what waits for a stuck peer by bytes as well

Cause: 4,096 frames of 13 KB are 53 MB for one peer that takes nothing, and a frame may have 32 MB; a node has 256 MB. Now at most 8 MB wait for a peer, or one larger frame.

Tried on a scratch copy: without the bound flush_bounds_bytes_that_wait and flush_sends_one_frame_above_bound fail; without the exception for a single frame the latter fails.

--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -20,6 +20,8 @@
 
 /// Most frames that wait for one peer.
 const OUTBOX_LIMIT: usize = 4096;
+/// Most bytes that wait for one peer; one frame may be larger.
+const OUTBOX_BYTES: usize = 8 << 20;
 /// Frames that nng itself holds for one peer.
 const SEND_BUFFER: i32 = 64;
 /// First wait before a cut link is dialled again.
@@ -68,6 +70,8 @@
     socket: Socket,
     pending: Vec<Message>,
     outbox: VecDeque<nng::Message>,
+    // Bytes in the outbox.
+    waiting: usize,
 }
 
 impl Link {
@@ -96,7 +100,7 @@
         if !self.peers.contains_key(address) {
             let socket = dial(address)
                 .map_err(|source| LinkError::Open { address: address.clone(), source })?;
-            let peer = Peer { socket, pending: Vec::new(), outbox: VecDeque::new() };
+            let peer = Peer::new(socket);
             self.peers.insert(address.clone(), peer);
         }
         if let Some(peer) = self.peers.get_mut(address) {
@@ -142,6 +146,10 @@
 }
 
 impl Peer {
+    fn new(socket: Socket) -> Peer {
+        Peer { socket, pending: Vec::new(), outbox: VecDeque::new(), waiting: 0 }
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty() && self.outbox.is_empty()
     }
@@ -153,22 +161,35 @@
         }
         let messages = std::mem::take(&mut self.pending);
         let (frames, dropped) = codec::encode_batch(sender, revision, messages);
-        self.outbox.extend(frames.iter().map(|bytes| nng::Message::from(&bytes[..])));
+        for bytes in frames {
+            self.waiting += bytes.len();
+            self.outbox.push_back(nng::Message::from(&bytes[..]));
+        }
         counters.dropped.fetch_add(dropped as u64, Ordering::Relaxed);
     }
 
+    fn is_full(&self) -> bool {
+        let large = self.waiting > OUTBOX_BYTES && self.outbox.len() > 1;
+        large || self.outbox.len() > OUTBOX_LIMIT
+    }
+
     fn drain(&mut self, counters: &Counters) {
         while let Some(message) = self.outbox.pop_front() {
+            let size = message.len();
             match self.socket.try_send(message) {
-                Ok(()) => count(&counters.sent),
+                Ok(()) => {
+                    self.waiting -= size;
+                    count(&counters.sent);
+                }
                 Err((message, _)) => {
                     self.outbox.push_front(message);
                     break;
                 }
             }
         }
-        while self.outbox.len() > OUTBOX_LIMIT {
-            self.outbox.pop_front();
+        while self.is_full() {
+            let oldest = self.outbox.pop_front();
+            self.waiting -= oldest.map_or(0, |message| message.len());
             count(&counters.dropped);
         }
     }
--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -2,11 +2,12 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::TcpListener;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
 use tables::Name;
-use wire::{Frame, Link, Message, Sender};
+use wire::{Chunk, Frame, Link, Message, RequestId, Sender};
 
 /// Longest wait for frames; passing runs take a fraction of it.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -85,3 +86,38 @@
     link.forget(&nobody);
     assert_eq!(link.backlog(), 0);
 }
+
+/// Large frames for a peer that is gone must not fill the memory.
+#[test]
+fn flush_bounds_bytes_that_wait() {
+    let nobody = address();
+    let (mut link, _) = open(&address());
+    for index in 0..MANY as u32 {
+        let data = vec![b'x'; 1 << 20].into();
+        let chunk = Chunk { id: RequestId::from_u128(1), attempt: 1, index, events: 0, data };
+        link.push(&nobody, Message::Chunk(chunk)).unwrap();
+        link.flush(7);
+    }
+    assert!((1..=8).contains(&link.backlog()), "{}", link.backlog());
+    assert!(link.counters().dropped.load(Ordering::Relaxed) > MANY / 2);
+}
+
+/// A frame above the bound is sent, if it is the only one.
+#[test]
+fn flush_sends_one_frame_above_bound() {
+    let late = address();
+    let (mut link, _) = open(&address());
+    for number in 0..MANY {
+        link.push(&late, Message::Pull(number)).unwrap();
+        link.flush(7);
+    }
+    let data = vec![b'x'; 9 << 20].into();
+    let chunk = Chunk { id: RequestId::from_u128(1), attempt: 1, index: 0, events: 0, data };
+    link.push(&late, Message::Chunk(chunk.clone())).unwrap();
+    link.flush(7);
+    assert_eq!(link.backlog(), 1);
+    let (_late, received) = open(&late);
+    let held = (MANY - link.counters().dropped.load(Ordering::Relaxed)) as usize;
+    let messages = collect(&mut link, &received, held + 1);
+    assert_eq!(messages.last(), Some(&Message::Chunk(chunk)));
+}
