Leave the word on a deadline to the entry

Cause: entry and agent ended a call at the same moment. The call to the backend server now goes on for five seconds after the deadline; the entry cancels what may be cancelled, and the answer of a booking that is late is still recorded for the caller's next try.

--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -19,6 +19,9 @@
 const EVENT_LIMIT: usize = 1 << 20;
 /// Header with the number of tokens of a broken stream that the caller has.
 const RESUME_HEADER: &str = "x-resume-tokens";
+/// Time after the deadline for which a call goes on. The entry ends it before
+/// that, if it may be ended; the answer of one that may not is still recorded.
+const GRACE: Duration = Duration::from_secs(5);
 /// Last event of a model engine's stream.
 const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
 /// Status of a model engine that takes no request, since it is starting.
@@ -38,7 +41,7 @@
     dispatch: Dispatch,
     event: impl Fn(Event),
 ) {
-    let limit = dispatch.remaining;
+    let limit = dispatch.remaining + GRACE;
     let call = exchange(client, base, kind, dispatch, &event);
     let ended = actix_rt::time::timeout(limit, call).await;
     event(ended.unwrap_or(Event::Failed { handed: true }));
@@ -65,7 +68,7 @@
         request = request.insert_header((RESUME_HEADER, dispatch.resume.to_string()));
     }
     // The deadline of the whole call is kept outside.
-    let sent = request.timeout(dispatch.remaining).send_body(dispatch.body).await;
+    let sent = request.timeout(dispatch.remaining + GRACE).send_body(dispatch.body).await;
     let mut response = match sent {
         Ok(response) => response,
         Err(error) => return Event::Failed { handed: was_handed(&error) },
