--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -21,7 +21,8 @@
     pub content_type: Option<String>,
     /// The body.
     pub body: Vec<u8>,
-    /// Whether the body came to its proper end.
+    /// Whether the body came to its proper end, as far as its framing tells:
+    /// the client takes a closed connection for the end of a chunked body.
     pub whole: bool,
 }
 
@@ -93,6 +94,7 @@
         value.to_str().ok().map(str::to_owned)
     };
     let (retry_after, content_type) = (header("retry-after"), header("content-type"));
+    let length = header("content-length").and_then(|value| value.parse::<usize>().ok());
     let mut body = Vec::new();
     let mut whole = true;
     while let Some(chunk) = futures_util::StreamExt::next(&mut response).await {
@@ -104,5 +106,6 @@
             }
         }
     }
+    whole &= length.is_none_or(|length| length == body.len());
     Some(Reply { status: response.status(), retry_after, content_type, body, whole })
 }
