Make one rank slow to load a map in the group's process tests

A stand-in engine now takes as long as the map's load_ms says for it.

freeze_leader and stop_leader now also check that no step was left out by a rank.

--- a/components/lab/src/engine/handler.rs
+++ b/components/lab/src/engine/handler.rs
@@ -1,7 +1,7 @@
 //! The engine behind HTTP.
 
 use std::io;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_web::web::{self, Bytes, Data, Json, Query, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
@@ -23,6 +23,9 @@
 pub const PRIORITY_HEADER: &str = "x-priority";
 /// Response header: the incarnation that answers.
 pub const INCARNATION_HEADER: &str = "x-incarnation";
+/// Field of an expert map: milliseconds that engines take to load it, by the
+/// engine's model name. Engines that aren't named take no time.
+const LOAD_FIELD: &str = "load_ms";
 /// Most bytes of a request body.
 const BODY_LIMIT: usize = 4 << 20;
 /// Type of a body of server-sent events.
@@ -87,6 +90,10 @@
 }
 
 async fn prepare(engine: Data<Engine>, order: Json<Prepare>) -> HttpResponse {
+    let load = order.content[LOAD_FIELD][engine.settings.model.as_str()].as_u64();
+    if let Some(load) = load {
+        actix_rt::time::sleep(Duration::from_millis(load)).await;
+    }
     order_response(engine.shared.with(|model, _| model.prepare(&order)))
 }
 
--- a/tests/src/ranks.rs
+++ b/tests/src/ranks.rs
@@ -163,7 +163,8 @@
 }
 
 fn start_rank(rank: usize, fencing: bool, links: &[Name], platform: &str) -> Rank {
-    let settings = engine::Settings { fencing, ..engine::Settings::default() };
+    let model = format!("rank-{rank}").into();
+    let settings = engine::Settings { fencing, model, ..engine::Settings::default() };
     let engine = engine::serve(settings).expect("an engine starts");
     let operations = port::free();
     let settings = json!({
--- a/tests/tests/group.rs
+++ b/tests/tests/group.rs
@@ -8,6 +8,8 @@
 
 /// Steps that every engine must run on for a group to count as running.
 const STEPS: usize = 100;
+/// Time that a slow rank takes to load a map, in milliseconds.
+const LOAD_MS: u64 = 600;
 
 #[actix_rt::test]
 async fn run_steps() {
@@ -18,6 +20,7 @@
     assert_eq!(group.maps().await.len(), 1);
 }
 
+/// Each map takes one of the ranks long to load: no other may go ahead.
 #[rstest]
 #[case::fenced(true)]
 #[case::unfenced(false)]
@@ -27,7 +30,8 @@
     group.wait_for_steps(STEPS).await;
     for version in 1..=3 {
         let former = group.maps().await;
-        group.put_map(json!({"experts": [version]})).await;
+        let slow = format!("rank-{}", version - 1);
+        group.put_map(json!({"experts": [version], "load_ms": {slow: LOAD_MS}})).await;
         group.wait_for_map(&former).await;
     }
     group.wait_for_steps(STEPS).await;
@@ -73,6 +77,8 @@
     group.wait_for_map(&former).await;
     group.wait_for_steps(STEPS).await;
     group.assert_agreement().await;
+    // No rank has lost its memory, so no step was left out.
+    group.assert_no_gaps().await;
 }
 
 #[actix_rt::test]
@@ -96,6 +102,8 @@
     assert!(next > number);
     let ended = group.ranks[leader].process.wait(std::time::Duration::from_secs(60));
     assert!(ended.unwrap().success());
+    // All that was granted is run by each rank, under whichever number.
+    group.assert_no_gaps().await;
     group.restart(leader);
     group.wait_for_steps(STEPS).await;
     group.assert_agreement().await;
