Walk over zones, operators, planned stops and hard cases

Cause: the walk knew neither zones out, operators, planned stops, poison nor a blind entry, and ten hard cases had no script. The walk now checks besides: no work sent or begun 3 s after a zone or server is out, changes in force within 6 s and the last accepted value of a raced row at rest, nothing cut off by a planned stop, no innocent request condemned. A process that is dead, frozen, cut off, blind or unlisted, a platform that is down or slow, and lost frames excuse the 3 s and 6 s; they start anew once it is mended. Nothing else is excused, and in scripts only where the script says so. The fakes had entries send to a server in a zone out unseen; that is checked now as well as what the agent begins.

--- a/tests/src/world/caller.rs
+++ b/tests/src/world/caller.rs
@@ -30,6 +30,8 @@
     pub data: Vec<u8>,
     /// How it ended.
     pub end: Option<End>,
+    /// Whether the bytes that came are just the expected ones.
+    pub whole: bool,
 }
 
 /// How a request ended for its caller.
@@ -49,7 +51,10 @@
         match part {
             Part::Head { status, .. } => self.status = Some(status),
             Part::Data(data) => self.data.extend_from_slice(&data),
-            Part::End => self.end = Some(End::Whole),
+            Part::End => {
+                self.whole = self.data == super::server::expected(self.kind, &self.body);
+                self.end = Some(End::Whole);
+            }
             Part::Problem(problem) => self.end = Some(End::Problem(problem)),
         }
     }
@@ -59,16 +64,11 @@
         match &self.end {
             None => format!("open, {} bytes", self.data.len()),
             Some(End::Cut) => "cut".to_owned(),
-            Some(End::Whole) if self.is_whole() => "whole".to_owned(),
+            Some(End::Whole) if self.whole => "whole".to_owned(),
             Some(End::Whole) => "WRONG".to_owned(),
             Some(End::Problem(problem)) => show_problem(problem),
         }
     }
-
-    /// Whether the bytes are just the expected ones.
-    pub fn is_whole(&self) -> bool {
-        self.data == super::server::expected(self.kind, &self.body)
-    }
 }
 
 fn show_problem(problem: &Problem) -> String {
--- a/tests/src/world/network.rs
+++ b/tests/src/world/network.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Whether two processes are cut off from one another.
+    pub fn is_cut(&self, a: &Name, b: &Name) -> bool {
+        self.cuts.contains(&(a.clone(), b.clone()))
+    }
+
+    /// Whether every frame arrives.
+    pub fn is_whole(&self) -> bool {
+        self.cuts.is_empty() && self.loss == 0
+    }
+
     /// Mends all.
     pub fn heal(&mut self) {
         self.cuts.clear();
--- a/tests/src/world/platform.rs
+++ b/tests/src/world/platform.rs
@@ -45,10 +45,12 @@
         }
     }
 
-    /// Writes an object as an operator does.
-    pub fn put(&mut self, kind: &str, name: &str, value: Value) -> Option<u64> {
-        let expect = Expect::of(self.store.get(kind, name).as_ref());
-        self.store.put(kind, name, expect, value).ok()
+    /// Mends all.
+    pub fn mend(&mut self) {
+        self.down = false;
+        self.slow = Duration::ZERO;
+        self.lose_replies = 0;
+        self.watch_delay = Duration::ZERO;
     }
 
     /// Carries out a call for a claim.
--- /dev/null
+++ b/tests/src/world/process.rs
@@ -0,0 +1,174 @@
+//! Processes start, die, freeze and stop.
+
+use std::time::Duration;
+
+use agent::State;
+use routing::Router;
+use tables::host::Role;
+use tables::{Name, PoolKind};
+
+use super::caller::{Caller, End};
+use super::server::{self, Server};
+use super::{Agent, Entry, World};
+
+impl World {
+    /// Starts an entry that is not running.
+    pub fn start_entry(&mut self, name: &Name) {
+        let host = &self.hosts[name];
+        self.starts += 1;
+        let entries = self.hosts.values().filter(|host| host.role == Role::Entry);
+        let options = routing::Options {
+            name: name.clone(),
+            zone: host.zone.clone(),
+            link: host.link.clone(),
+            peers: entries.map(|host| host.link.clone()).collect(),
+            seed: self.seed ^ self.starts,
+        };
+        let entry = Entry {
+            router: Router::new(options),
+            started: self.now,
+            incarnation: self.starts,
+            watched: None,
+            looked: self.now,
+            blind: false,
+            frozen: false,
+            inbox: Vec::new(),
+            drained: false,
+        };
+        self.entries.insert(name.clone(), Some(entry));
+    }
+
+    /// Starts an agent that is not running. Its server has gone on meanwhile.
+    pub fn start_agent(&mut self, name: &Name) {
+        let host = self.hosts[name].clone();
+        let pool = host.pool.clone().unwrap_or_default();
+        let kind = if pool == "chat" { PoolKind::Model } else { PoolKind::Service };
+        self.starts += 1;
+        let entries = self.hosts.values().filter(|host| host.role == Role::Entry);
+        let options = agent::Options {
+            name: name.clone(),
+            zone: host.zone.clone(),
+            pool: pool.clone(),
+            incarnation: self.starts,
+            limit: server::CARRY_WARM as u32,
+            cold: kind == PoolKind::Model,
+            peers: entries.map(|host| host.link.clone()).collect(),
+            partitions: 4,
+            claims: claims::Settings::default(),
+        };
+        let server = self.dead_servers.remove(name).unwrap_or_else(|| Server::new(kind));
+        let agent = Agent {
+            state: State::new(Duration::ZERO, options),
+            started: self.now,
+            incarnation: self.starts,
+            frozen: false,
+            inbox: Vec::new(),
+            checked: Duration::ZERO,
+            server,
+            zone: host.zone,
+            pool,
+            told: false,
+            drained: false,
+        };
+        self.agents.insert(name.clone(), Some(agent));
+    }
+
+    /// Ends processes that were told to stop and have drained, if they are to.
+    pub(super) fn exit_drained(&mut self) {
+        if !self.exits {
+            return;
+        }
+        let entries =
+            self.entries.iter().filter(|(_, one)| one.as_ref().is_some_and(|e| e.drained));
+        let agents = self.agents.iter().filter(|(_, one)| one.as_ref().is_some_and(|a| a.drained));
+        let names: Vec<Name> =
+            entries.map(|(name, _)| name).chain(agents.map(|(name, _)| name)).cloned().collect();
+        for name in names {
+            let running = self.agent(&name).map_or(0, |agent| agent.server.running());
+            if running > 0 {
+                let broken = format!("{name} exits while its server runs {running}");
+                self.journal.violations.push(broken);
+            }
+            self.kill(&name);
+        }
+    }
+
+    /// Whether nothing is broken now.
+    fn is_calm(&self) -> bool {
+        let entries = self.entries.values().all(|entry| {
+            entry.as_ref().is_some_and(|entry| !entry.frozen && !entry.blind && !entry.drained)
+        });
+        let agents = self.agents.iter().all(|(name, agent)| {
+            let up = self.server(name).is_some_and(|server| server.is_up(self.now));
+            up && agent.as_ref().is_some_and(|agent| !agent.frozen && !agent.drained)
+        });
+        let platform = !self.platform.down && self.platform.slow.is_zero();
+        entries && agents && platform && self.network.is_whole() && self.unlisted.is_empty()
+    }
+
+    /// Requests in progress at a process: those of its callers, or those that
+    /// its server runs.
+    fn in_progress(&self, process: &Name) -> Vec<String> {
+        let server = self.agent(process).map(|agent| &agent.server);
+        let open = self.callers.iter().filter(|(_, caller)| caller.end.is_none());
+        let at = |caller: &Caller| {
+            caller.entry == *process || server.is_some_and(|server| server.runs(&caller.id))
+        };
+        open.filter(|(_, caller)| at(caller)).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Kills a process. The server beside an agent loses its connections: an
+    /// engine cancels what it runs, a plain service goes on with it.
+    pub fn kill(&mut self, name: &Name) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            *entry = None;
+            let cut = |caller: &&mut Caller| caller.entry == *name && caller.end.is_none();
+            for caller in self.callers.values_mut().filter(cut) {
+                caller.end = Some(End::Cut);
+            }
+        }
+        if let Some(agent) = self.agents.get_mut(name)
+            && let Some(mut agent) = agent.take()
+        {
+            agent.server.disconnect();
+            self.dead_servers.insert(name.clone(), agent.server);
+        }
+    }
+
+    /// Freezes a process, or lets it go on with what came meanwhile.
+    pub fn freeze(&mut self, name: &Name, frozen: bool) {
+        if let Some(Some(entry)) = self.entries.get_mut(name) {
+            entry.frozen = frozen;
+            if !frozen {
+                for input in std::mem::take(&mut entry.inbox) {
+                    self.step_entry(name, input);
+                }
+            }
+        }
+        if let Some(Some(agent)) = self.agents.get_mut(name) {
+            agent.frozen = frozen;
+            if !frozen {
+                for input in std::mem::take(&mut agent.inbox) {
+                    self.step_agent(name, input);
+                }
+            }
+        }
+    }
+
+    /// Tells a process to stop, as SIGTERM does.
+    pub fn stop(&mut self, name: &Name) {
+        if self.is_calm() {
+            let open = self.in_progress(name);
+            self.graceful += open.len();
+            self.journal.graceful.extend(open);
+        }
+        if self.entries.contains_key(name) {
+            self.step_entry(name, routing::Input::Leave);
+        } else {
+            if let Some(agent) = self.agent_mut(name) {
+                agent.told = true;
+            }
+            self.step_agent(name, agent::Input::Leave);
+        }
+    }
+}
--- a/tests/src/world/script.rs
+++ b/tests/src/world/script.rs
@@ -23,6 +23,8 @@
     Missing(&'static str),
     #[error("{0} is not a time; say 20ms or 3s")]
     Time(String),
+    #[error("the platform refused the change")]
+    Refused,
     #[error("there is no world yet")]
     World,
     #[error("broken: {0}")]
@@ -84,7 +86,22 @@
             let route = args.take_key("route").ok_or(Fault::Missing("route"))?;
             let body = args.take_key("body").unwrap_or("hello");
             let key = args.take_key("key");
-            world.send(request, via, route, key, body);
+            let timeout = args.take_key("timeout").map(time).transpose()?;
+            world.send_within(request, via, route, key, body, timeout);
+        }
+        "hang-up" => world.hang_up(next("request")?),
+        "excuses" => world.journal.excuses = true,
+        "exits" => world.exits = true,
+        "race" => {
+            let (pool, first, second) = (next("pool")?, next("limit")?, next("limit")?);
+            output = race(world, pool, first.parse()?, second.parse()?);
+        }
+        "limit" => {
+            for process in args.by_ref() {
+                let name = process.to_string();
+                let limit = world.limit(&name).ok_or(Fault::Missing("agent"))?;
+                output.push_str(&format!("{name}: {limit}\n"));
+            }
         }
         "send-many" => {
             let number: usize = next("number")?.parse()?;
@@ -125,8 +142,8 @@
         "see" => world.blind(&next("entry")?.into(), false),
         "unlist" => world.list(&next("host")?.into(), false),
         "list" => world.list(&next("host")?.into(), true),
-        "server-out" => world.set_server(next("server")?, true),
-        "server-return" => world.set_server(next("server")?, false),
+        "server-out" => accepted(world.set_server(next("server")?, true))?,
+        "server-return" => accepted(world.set_server(next("server")?, false))?,
         "show" => {
             for request in args.by_ref() {
                 let name = request.to_string();
@@ -175,15 +192,23 @@
         "watch-delay" => world.platform.watch_delay = time(next("time")?)?,
         "zone" => {
             let out = next("out or return")? == "out";
-            world.set_zone(next("zone")?, out);
+            accepted(world.set_zone(next("zone")?, out))?;
         }
         "crash" => {
             let name = Name::from(next("server")?);
             world.crash_server(&name);
         }
         "chill" => {
-            let agent = world.agent_mut(next("server")?).ok_or(Fault::Missing("server"))?;
-            agent.server.chill();
+            let server = next("server")?;
+            world.agent(server).ok_or(Fault::Missing("server"))?;
+            world.chill(server);
+        }
+        "running" => {
+            for server in args.by_ref() {
+                let name = server.to_string();
+                let running = world.server(&name).map_or(0, |server| server.running());
+                output.push_str(&format!("{name} runs {running}\n"));
+            }
         }
         "crashes" => {
             let servers = world.agents.keys().filter_map(|name| world.server(name));
@@ -226,6 +251,23 @@
     Ok(output)
 }
 
+fn accepted(version: Option<u64>) -> Result<(), Box<dyn Error>> {
+    version.map(|_| ()).ok_or_else(|| Fault::Refused.into())
+}
+
+/// Two operators read a pool at the same time and change its limit.
+fn race(world: &mut World, pool: &str, first: u32, second: u32) -> String {
+    let seen = world.expect("pool", pool);
+    let mut change = |limit: u32| {
+        let value = serde_json::json!({"kind": "service", "limit": limit});
+        match world.change_if("pool", pool, seen, value) {
+            Some(_) => format!("limit {limit} accepted\n"),
+            None => format!("limit {limit} refused\n"),
+        }
+    };
+    change(first) + &change(second)
+}
+
 fn platform(world: &mut World, state: &str) -> Result<(), Box<dyn Error>> {
     match state {
         "down" => world.platform.down = true,
--- a/tests/src/world/server.rs
+++ b/tests/src/world/server.rs
@@ -96,6 +96,11 @@
         self.work.len()
     }
 
+    /// Whether it runs a request.
+    pub fn runs(&self, id: &wire::RequestId) -> bool {
+        self.work.values().any(|work| work.dispatch.id == *id)
+    }
+
     fn is_cold(&self) -> bool {
         self.kind == PoolKind::Model && self.answered < WARM_AFTER
     }
