Keep 225 servers over all pools, ask three peers at the start, spare innocents

Cause: the slopes show that five pools of 225 servers give an entry frames of hardly more than one chunk, 1.2 to 1.9 cores; and that an entry whose host list comes before its tables asks all 639 peers for both, 632 MB. Asking fewer moved the random stream and showed a third fault: a stream in flight beside a poison request on two servers in turn was given up as crashed (poison.script, s3). Before: members_of_many_pools_stay_few finds 1,125, join_asks_few_peers 639; s3 given up.

--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -10,8 +10,12 @@
 use crate::report::{Book, View};
 use crate::subset;
 
-/// Backend servers that one entry keeps of a pool.
+/// Backend servers that one entry keeps, over all pools.
 const SUBSET: usize = 225;
+/// Backend servers that one entry keeps of a pool at least.
+const POOL_MIN: usize = 16;
+/// Entries that an entry asks at a time for tables and hosts when it starts.
+pub const JOIN_PEERS: usize = 3;
 /// Least time between two heartbeats to one agent.
 const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
 /// Heartbeats that an entry sends in a second, over all agents.
@@ -59,11 +63,12 @@
                 by_pool.entry(pool).or_default().push(host.clone());
             }
         }
+        let total: usize = by_pool.values().map(Vec::len).sum();
         let mut kept = HashMap::new();
         self.pools.clear();
         for (pool, hosts) in by_pool {
             let names: Vec<Name> = hosts.iter().map(|host| host.name.clone()).collect();
-            let mut chosen = subset::pick(&self.entry, &names, SUBSET);
+            let mut chosen = subset::pick(&self.entry, &names, share(names.len(), total));
             chosen.sort();
             for host in hosts {
                 if chosen.binary_search(&host.name).is_ok() {
@@ -192,6 +197,14 @@
     table.is_zone_out(&host.zone) || table.is_server_out(&host.name)
 }
 
+/// How many backend servers of a pool an entry keeps, by the pool's size.
+fn share(pool: usize, total: usize) -> usize {
+    if total <= SUBSET {
+        return pool;
+    }
+    (SUBSET * pool).div_ceil(total).max(POOL_MIN)
+}
+
 /// Whether an agent has been silent too long after it was sent a heartbeat.
 pub fn is_lost(now: Duration, member: &Member) -> bool {
     member.waiting.is_some_and(|since| now.saturating_sub(since) > LOST_AFTER)
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -86,7 +86,7 @@
     pub reason: Reason,
     /// Earliest time at which a refusing agent wants to see it again.
     pub retry_after: Option<Duration>,
-    /// Attempts that crashed their backend server.
+    /// Attempts that crashed their backend server before any answer.
     pub crashes: u32,
     /// Number of attempts so far.
     pub attempts: u32,
--- a/components/routing/src/router/fail.rs
+++ b/components/routing/src/router/fail.rs
@@ -11,7 +11,7 @@
 
 /// Most attempts of one request.
 const ATTEMPT_LIMIT: u32 = 4;
-/// Most attempts of one request that crash their backend server.
+/// Most attempts of one request that crash their backend server at once.
 const CRASH_LIMIT: u32 = 2;
 
 impl Router {
@@ -60,7 +60,9 @@
         request.retry_after = sooner(request.retry_after, retry_after);
         request.ran = worse(request.ran, ran);
         request.body.clear();
-        if reason == Reason::Crashed {
+        // What had begun to answer was more likely beside the cause than the
+        // cause; the agents' evidence bounds how often it is tried.
+        if reason == Reason::Crashed && attempt.next == 0 {
             request.crashes += 1;
         }
         self.members.book.ended(now, &attempt.server, request.prompt);
--- a/components/routing/src/router/watch.rs
+++ b/components/routing/src/router/watch.rs
@@ -6,7 +6,7 @@
 use wire::{Message, RequestId, Resend};
 
 use super::{Output, Router};
-use crate::members::is_lost;
+use crate::members::{JOIN_PEERS, is_lost};
 use crate::request::Request;
 
 /// Silence after which an agent is asked for what is missing.
@@ -79,9 +79,9 @@
         if self.answered_peers || self.platform_seen {
             self.joined.get_or_insert(now);
         }
-        // Until it has heard anybody, an entry asks all the peers it knows.
+        // Until it has heard anybody, an entry asks others each round.
         if joining {
-            for link in &peers {
+            for link in peers.choose_multiple(&mut self.rng, JOIN_PEERS) {
                 let pull = Message::Pull(self.revision());
                 outputs.push(Output::Send(link.clone(), pull));
                 outputs.push(Output::Send(link.clone(), Message::PullHosts));
--- a/components/routing/tests/change.rs
+++ b/components/routing/tests/change.rs
@@ -62,3 +62,36 @@
     let back = router.step(Duration::from_millis(250), Input::Tick);
     assert_eq!(heartbeats(&back), MEMBERS / 4);
 }
+
+#[test]
+fn members_of_many_pools_stay_few() {
+    let mut router = router();
+    let host = |number: usize| Host {
+        name: format!("m{number}").into(),
+        role: Role::Server,
+        zone: "z1".into(),
+        link: format!("tcp://m{number}").into(),
+        pool: Some(format!("pool-{}", number % 5).into()),
+        state: State::Live,
+    };
+    router.step(Duration::ZERO, Input::Hosts(2, (0..12_000).map(host).collect()));
+    let dump = router.dump(Duration::ZERO);
+    assert_eq!(dump["members_known"], 225);
+}
+
+#[test]
+fn join_asks_few_peers() {
+    let mut router = router();
+    let host = |number: usize| Host {
+        name: format!("e{number}").into(),
+        role: Role::Entry,
+        zone: "z1".into(),
+        link: format!("tcp://e{number}").into(),
+        pool: None,
+        state: State::Live,
+    };
+    router.step(Duration::ZERO, Input::Hosts(2, (0..640).map(host).collect()));
+    let outputs = router.step(Duration::from_millis(50), Input::Tick);
+    let pulls = |output: &&Output| matches!(output, Output::Send(_, Message::Pull(_)));
+    assert_eq!(outputs.iter().filter(pulls).count(), 3);
+}
