Let begun streams wait for a server, and trust no lagging report of a crash

And a stream whose engines were all starting ended within milliseconds with most of its deadline left, though its caller can't send it again without losing what it has. Ruled out: settling at once for engines; plain services, whose final word must not wait, still settle at once. A resumed attempt that answers with another kind of answer is taken for broken, and never mixed into the stream.

--- a/components/admission/src/gate/settle.rs
+++ b/components/admission/src/gate/settle.rs
@@ -13,9 +13,11 @@
         let restarted = known.is_some_and(|known| known != incarnation);
         if restarted {
             self.crashed(now, outputs);
-        } else {
+        } else if !self.options.cold {
             self.settle(now, Reason::Broken, outputs);
         }
+        // An engine's report lags, its incarnation included: that it shows the
+        // old one proves nothing yet, so the check's time limit decides.
     }
 
     pub(super) fn unreachable(&mut self, now: Duration, outputs: &mut Vec<Output>) {
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -88,6 +88,8 @@
     pub retry_after: Option<Duration>,
     /// Attempts that crashed their backend server before any answer.
     pub crashes: u32,
+    /// When a begun stream that no server could go on with is tried again.
+    pub again: Option<Duration>,
     /// Number of attempts so far.
     pub attempts: u32,
     /// Whether the head has gone to the caller.
@@ -108,6 +110,11 @@
         Cancel { id: self.dispatch.id, attempt: self.dispatch.attempt }
     }
 
+    /// Whether the caller has a part of a stream, which only going on can mend.
+    pub fn has_begun(&self) -> bool {
+        self.head_sent && self.stream
+    }
+
     /// Whether another attempt can still give the caller a whole answer.
     pub fn may_retry(&self) -> bool {
         !self.head_sent || self.stream
--- a/components/routing/src/router/ask.rs
+++ b/components/routing/src/router/ask.rs
@@ -88,6 +88,7 @@
             reason: Reason::NoServer,
             retry_after: None,
             crashes: 0,
+            again: None,
             attempts: 0,
             head_sent: false,
             stream: false,
--- a/components/routing/src/router/choose.rs
+++ b/components/routing/src/router/choose.rs
@@ -31,6 +31,7 @@
         };
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.attempts += 1;
+        request.again = None;
         let dispatch = &mut request.dispatch;
         dispatch.attempt = request.attempts;
         dispatch.incarnation = choice.incarnation;
@@ -110,7 +111,9 @@
     fn give_up(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id) else { return };
         let reason = if request.attempts == 0 { Reason::NoServer } else { request.reason };
-        self.finish(now, id, reason, outputs);
+        if !self.wait(now, id) {
+            self.finish(now, id, reason, outputs);
+        }
     }
 }
 
--- a/components/routing/src/router/collect.rs
+++ b/components/routing/src/router/collect.rs
@@ -29,6 +29,12 @@
         if attempt.head.is_some() {
             return;
         }
+        if request.head_sent && !is_stream(&head) {
+            // Another kind of answer can't go on where the stream broke off.
+            self.acknowledge(id, outputs);
+            self.failed(now, id, Reason::Broken, Ran::MayHaveRun, None, outputs);
+            return;
+        }
         request.stream |= is_stream(&head);
         attempt.head = Some(head.clone());
         if request.stream && !request.head_sent {
--- a/components/routing/src/router/fail.rs
+++ b/components/routing/src/router/fail.rs
@@ -11,6 +11,10 @@
 
 /// Most attempts of one request.
 const ATTEMPT_LIMIT: u32 = 4;
+/// Most attempts of a stream of which the caller has a part.
+const STREAM_ATTEMPT_LIMIT: u32 = 16;
+/// Wait of such a stream before it is tried again.
+const STREAM_WAIT: Duration = Duration::from_millis(300);
 /// Most attempts of one request that crash their backend server at once.
 const CRASH_LIMIT: u32 = 2;
 
@@ -72,7 +76,23 @@
             self.dispatch(now, id, outputs);
             return;
         }
-        self.finish(now, id, reason, outputs);
+        if is_final(reason) || !self.wait(now, id) {
+            self.finish(now, id, reason, outputs);
+        }
+    }
+
+    /// Lets a begun stream wait for a server that can go on with it: its caller
+    /// can't send it again without losing what it has. Any other request gets
+    /// its final answer at once.
+    pub(super) fn wait(&mut self, now: Duration, id: RequestId) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let worth = request.has_begun() && request.attempts < STREAM_ATTEMPT_LIMIT;
+        if !worth || request.crashes >= CRASH_LIMIT || request.deadline <= now {
+            return false;
+        }
+        request.avoid.clear();
+        request.again = Some(now + STREAM_WAIT);
+        true
     }
 
     fn may_retry(&mut self, now: Duration, id: RequestId, reason: Reason, ran: Ran) -> bool {
--- a/components/routing/src/router/watch.rs
+++ b/components/routing/src/router/watch.rs
@@ -27,6 +27,7 @@
             outputs.push(Output::Send(link, Message::Heartbeat));
         }
         self.expire_due(now, outputs);
+        self.dispatch_again(now, outputs);
         self.lose_silent(now, outputs);
         self.ask_silent(now, outputs);
     }
@@ -39,6 +40,15 @@
         }
     }
 
+    fn dispatch_again(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let due = |request: &Request| request.again.is_some_and(|again| again <= now);
+        let picked = self.requests.iter().filter(|(_, request)| due(request));
+        let ids: Vec<RequestId> = picked.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.dispatch(now, id, outputs);
+        }
+    }
+
     fn lose_silent(&mut self, now: Duration, outputs: &mut Vec<Output>) {
         let mut silent = std::collections::BTreeSet::new();
         for request in self.requests.values() {
