Send small parts of answers without waiting for acknowledgements

Cause: the added p99 of a stream's first token was 41 ms, the time of a delayed acknowledgement: HTTP servers held the second small write of an answer until the first was acknowledged. Ruled out: a filling queue, since it hardly grew with the rate. Conclusion: kept for daemons and stand-ins.

--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -31,6 +31,7 @@
 ) -> Result<ServerHandle, ListenError> {
     let server = HttpServer::new(move || App::new().configure(configure.clone()))
         .workers(workers)
+        .tcp_nodelay(true)
         .shutdown_timeout(shutdown.as_secs().max(1))
         .disable_signals()
         .bind(address)
--- a/components/lab/src/server.rs
+++ b/components/lab/src/server.rs
@@ -85,7 +85,11 @@
     let thread = std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
             let app = move || App::new().configure(configure.clone());
-            let server = HttpServer::new(app).workers(1).keep_alive(KEEP_ALIVE).disable_signals();
+            let server = HttpServer::new(app)
+                .workers(1)
+                .tcp_nodelay(true)
+                .keep_alive(KEEP_ALIVE)
+                .disable_signals();
             let Ok(server) = server.listen(listener) else { return };
             let server = server.run();
             actix_rt::spawn(task);
