--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -15,6 +15,6 @@
 mod storage;
 
 pub use membership::Membership;
-pub use run::{Error, run};
+pub use run::run;
 pub use settings::Settings;
 pub use state::{Effect, Input, Options, State};
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use actix::{Addr, AsyncContext};
-use daemon::ListenError;
+use daemon::Error;
 use tables::PoolKind;
 use telemetry::Metrics;
 use tokio::sync::oneshot;
-use wire::{Link, LinkError, Sender};
+use wire::{Link, Sender};
 
 use crate::backend;
 use crate::core::{Callees, Core, Inbound, Leave};
@@ -23,20 +23,6 @@
 /// Time to let the last frames go out.
 const LAST_FLUSH: Duration = Duration::from_millis(200);
 
-/// Why an agent could not run.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum Error {
-    /// The link address can't be used.
-    #[error(transparent)]
-    Link(#[from] LinkError),
-    /// The operations address can't be used.
-    #[error(transparent)]
-    Listen(#[from] ListenError),
-    /// The metrics can't be set up.
-    #[error(transparent)]
-    Metrics(#[from] telemetry::MetricsError),
-}
-
 /// Runs an agent until `stop` completes, then drains it.
 ///
 /// # Errors
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,9 +1,11 @@
 //! What all daemons share: start, signals, HTTP servers and the way out.
 
+mod error;
 mod server;
 mod signal;
 mod start;
 
+pub use error::Error;
 pub use server::{ListenError, serve};
 pub use signal::stopped;
 pub use start::{Flags, start};
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,5 +11,5 @@
 mod run;
 mod settings;
 
-pub use run::{Error, run};
+pub use run::run;
 pub use settings::Settings;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -3,11 +3,11 @@
 use actix::Addr;
 use actix_web::dev::ServerHandle;
 use actix_web::web;
-use daemon::ListenError;
+use daemon::{Error, ListenError};
 use routing::{Options, Router};
 use telemetry::Metrics;
 use tokio::sync::oneshot;
-use wire::{Link, LinkError, Sender};
+use wire::{Link, Sender};
 
 use crate::core::{Core, Inbound, Leave, News, Retire};
 use crate::http::{self, Shared};
@@ -18,20 +18,6 @@
 /// Threads that serve operators.
 const OPERATIONS_WORKERS: usize = 1;
 
-/// Why an entry could not run.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum Error {
-    /// The link address can't be used.
-    #[error(transparent)]
-    Link(#[from] LinkError),
-    /// An HTTP address can't be used.
-    #[error(transparent)]
-    Listen(#[from] ListenError),
-    /// The metrics can't be set up.
-    #[error(transparent)]
-    Metrics(#[from] telemetry::MetricsError),
-}
-
 /// Runs an entry until `stop` completes, then drains it.
 ///
 /// # Errors
