Flush when something waits, not every two milliseconds

Cause: two thirds of an idle entry's and agent's processor time went into a timer that looked for frames to send every 2 ms. Conclusion: the entry flushes with each step, the agent 2 ms after the first message; what a peer has not taken is tried again at the next tick.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -49,6 +49,7 @@
     pub(crate) callees: Callees,
     pub(crate) member: Option<Member>,
     calls: HashMap<u64, JoinHandle<()>>,
+    flush_due: bool,
     pub(crate) started: Instant,
     drained: Option<oneshot::Sender<()>>,
 }
@@ -98,6 +99,7 @@
             callees,
             member,
             calls: HashMap::new(),
+            flush_due: false,
             started: Instant::now(),
             drained: None,
         }
@@ -112,11 +114,7 @@
 
     fn carry_out(&mut self, effect: Effect, context: &mut Context<Core>) {
         match effect {
-            Effect::Send(address, message) => {
-                if let Err(error) = self.link.push(&address, message) {
-                    log::warn!("{error}");
-                }
-            }
+            Effect::Send(address, message) => self.push(&address, message, context),
             Effect::Run(ticket, dispatch) => self.run(ticket, dispatch, context),
             Effect::Stop(ticket) => {
                 if let Some(call) = self.calls.remove(&ticket) {
@@ -141,6 +139,27 @@
         }
     }
 
+    /// Puts a message into the next frame, which goes out a little later, so
+    /// that others can go with it.
+    pub(crate) fn push(
+        &mut self,
+        address: &Name,
+        message: wire::Message,
+        context: &mut Context<Core>,
+    ) {
+        if let Err(error) = self.link.push(address, message) {
+            log::warn!("{error}");
+        }
+        if !std::mem::replace(&mut self.flush_due, true) {
+            context.run_later(FLUSH, |core, _| core.flush());
+        }
+    }
+
+    fn flush(&mut self) {
+        self.flush_due = false;
+        self.link.flush(self.state.revision());
+    }
+
     fn run(&mut self, ticket: u64, dispatch: wire::Dispatch, context: &mut Context<Core>) {
         let core = context.address();
         let event = move |event| core.do_send(News(Input::Event(ticket, event)));
@@ -173,13 +192,16 @@
     fn started(&mut self, context: &mut Context<Core>) {
         context.set_mailbox_capacity(1 << 16);
         self.check(context);
-        context.run_interval(TICK, |core, context| core.step(Input::Tick, context));
+        context.run_interval(TICK, |core, context| {
+            core.step(Input::Tick, context);
+            // What a peer has not taken is tried again.
+            core.flush();
+        });
         if self.member.is_some() {
             context.run_interval(RANK_TICK, |core, context| {
                 core.step_rank(rank::Input::Tick, context);
             });
         }
-        context.run_interval(FLUSH, |core, _| core.link.flush(core.state.revision()));
         context.run_interval(self.callees.check, |core, context| core.check(context));
         context.run_interval(SHOW, |core, _| {
             core.calls.retain(|_, call| !call.is_finished());
--- a/components/agent/src/rank_actor.rs
+++ b/components/agent/src/rank_actor.rs
@@ -128,11 +128,7 @@
         let base = self.callees.base.clone();
         let platform = self.callees.platform.clone();
         match effect {
-            Effect::Send(address, message) => {
-                if let Err(error) = self.link.push(&address, message) {
-                    log::warn!("{error}");
-                }
-            }
+            Effect::Send(address, message) => self.push(&address, message, context),
             Effect::Order(order) => report(context, orders::order(engine, base, order)),
             Effect::Status => report(context, orders::status(engine, base)),
             Effect::Load => report(context, orders::load(platform, name)),
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -12,10 +12,9 @@
 
 use crate::meter::Meter;
 
-/// Time between two ticks of the router.
+/// Time between two ticks of the router; what peers have not taken by then is
+/// sent again.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between two attempts to send what peers have not taken.
-const FLUSH: Duration = Duration::from_millis(2);
 /// Time between two updates of the metrics.
 const SHOW: Duration = Duration::from_millis(500);
 
@@ -156,7 +155,6 @@
     fn started(&mut self, context: &mut Context<Core>) {
         context.set_mailbox_capacity(1 << 16);
         context.run_interval(TICK, |core, _| core.step(Input::Tick));
-        context.run_interval(FLUSH, |core, _| core.link.flush(core.router.revision()));
         context.run_interval(SHOW, |core, _| {
             let counters = core.router.counters();
             core.meter.show(&counters, core.router.open(), core.router.revision());
