--- a/tests/tests/examples.rs
+++ b/tests/tests/examples.rs
@@ -49,6 +49,13 @@
     command.output().unwrap()
 }
 
+/// Runs the operators' program with the sample settings.
+fn wisteria(arguments: &[&str]) -> Output {
+    let mut command = Command::new(programs().join("wisteria"));
+    command.arg("--settings").arg(samples().join("wisteria.json")).args(arguments);
+    command.output().unwrap()
+}
+
 #[test]
 fn check_all_samples() {
     for (program, file) in SAMPLES {
@@ -120,6 +127,14 @@
     let reply = caller::read(request, "bench 4".to_owned()).await.unwrap();
     assert_eq!(reply.body, service::expected("/book", b"bench 4").into_bytes());
 
+    // The first change of the README: accepted, and in force everywhere.
+    let route = r#"{"path": "/v1/chat/completions", "model": "fitter", "pools": ["chat"],
+        "idempotent": true, "timeout_ms": 20000}"#;
+    let output = wisteria(&["routes", "set", "chat", route, "--wait"]);
+    let said = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{said}");
+    assert!(said.contains("accepted"), "{said}");
+
     // Callers' side first, as an operator would stop them.
     processes.reverse();
     for process in &mut processes {
