Drop fields that nobody reads and a test plan written twice

Cause: a read of the whole change found three fields of a request and an argument of the meter that nothing reads, one of them written for each part of an answer, and the same plan in the tests of kills and stops. Behaviour as before; no assertion changed.

--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -138,7 +138,7 @@
         let Some(caller) = self.callers.get_mut(&id) else { return };
         if !caller.first {
             caller.first = true;
-            self.meter.first(id, caller.asked.elapsed().as_secs_f64());
+            self.meter.first(caller.asked.elapsed().as_secs_f64());
         }
         let over = matches!(part, Part::End | Part::Problem(_));
         // The caller may have hung up; its guard says so by itself.
--- a/components/entry/src/meter.rs
+++ b/components/entry/src/meter.rs
@@ -2,7 +2,6 @@
 
 use routing::router::Counters;
 use telemetry::{Gauge, Metrics};
-use wire::RequestId;
 
 /// Instruments of the entry, set from the router's own counters.
 pub struct Meter {
@@ -69,7 +68,7 @@
     }
 
     /// Records the time to the first part of an answer.
-    pub fn first(&self, _id: RequestId, seconds: f64) {
+    pub fn first(&self, seconds: f64) {
         self.first_part.record(seconds);
     }
 }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -41,8 +41,6 @@
     pub link: Name,
     /// The agent's incarnation that was meant, 0 if none was known.
     pub incarnation: u64,
-    /// When it was sent.
-    pub started: Duration,
     /// When the agent last said something of this attempt.
     pub heard: Duration,
     /// When the agent was last asked for what is missing.
@@ -72,8 +70,6 @@
     pub prompt: u32,
     /// Hashes of the prompt's leading blocks.
     pub blocks: Vec<u64>,
-    /// When it arrived.
-    pub arrived: Duration,
     /// When the answer must be whole.
     pub deadline: Duration,
     /// The attempt under way, if any.
@@ -98,8 +94,6 @@
     pub stream: bool,
     /// Events that the caller has.
     pub events: u32,
-    /// When the caller got the first part of the body.
-    pub first: Option<Duration>,
     /// Body of an answer that is not streamed, kept until it is whole.
     pub body: Vec<u8>,
 }
--- a/components/routing/src/router/ask.rs
+++ b/components/routing/src/router/ask.rs
@@ -80,7 +80,6 @@
             pools: route.pools,
             prompt,
             blocks,
-            arrived: now,
             deadline: now + timeout,
             attempt: None,
             avoid: Vec::new(),
@@ -93,7 +92,6 @@
             head_sent: false,
             stream: false,
             events: 0,
-            first: None,
             body: Vec::new(),
         })
     }
--- a/components/routing/src/router/choose.rs
+++ b/components/routing/src/router/choose.rs
@@ -42,7 +42,6 @@
             server: choice.server.clone(),
             link: choice.link.clone(),
             incarnation: choice.incarnation,
-            started: now,
             heard: now,
             asked: now,
             probes: 0,
--- a/components/routing/src/router/collect.rs
+++ b/components/routing/src/router/collect.rs
@@ -113,9 +113,6 @@
         let Some(attempt) = &mut request.attempt else { return };
         let ready = attempt.ready();
         let outcome = attempt.outcome();
-        if !ready.is_empty() {
-            request.first.get_or_insert(now);
-        }
         for chunk in ready {
             request.events += chunk.events;
             if request.stream {
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -124,6 +124,20 @@
     }
 }
 
+impl Plan {
+    /// Two entries, and two engines and two services in two zones; a booking
+    /// takes `booking`.
+    pub fn pairs(booking: Duration) -> Plan {
+        Plan {
+            entries: vec!["entry-1", "entry-2"],
+            engines: vec![("engine-1", "accra-1"), ("engine-2", "accra-2")],
+            services: vec![("service-1", "accra-1"), ("service-2", "accra-2")],
+            service: service::Settings { delay: booking, ..Default::default() },
+            ..Plan::default()
+        }
+    }
+}
+
 impl Cluster {
     /// Starts everything and waits until all daemons are ready.
     pub async fn start(plan: Plan) -> Cluster {
--- a/tests/tests/kill.rs
+++ b/tests/tests/kill.rs
@@ -19,16 +19,6 @@
 /// Longest time for a caller to get the final word by sending again.
 const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 
-fn plan() -> Plan {
-    Plan {
-        entries: vec!["entry-1", "entry-2"],
-        engines: vec![("engine-1", "accra-1"), ("engine-2", "accra-2")],
-        services: vec![("service-1", "accra-1"), ("service-2", "accra-2")],
-        service: service::Settings { delay: BOOKING, ..Default::default() },
-        ..Plan::default()
-    }
-}
-
 /// The bytes of a whole stream, as an engine sends them to a direct caller.
 async fn direct(cluster: &Cluster, prompt: &str, tokens: u32) -> Vec<u8> {
     let url = cluster.engines["engine-1"].to_url();
@@ -92,7 +82,7 @@
 #[case::agent_frozen(Fault::FreezeAgent)]
 #[actix_rt::test]
 async fn resume_stream(#[case] fault: Fault) {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let url = cluster.url("entry-1");
     let expected = direct(&cluster, PROMPT, TOKENS).await;
     let stream = actix_rt::spawn(async move { caller::chat(&url, PROMPT, TOKENS).await });
@@ -123,7 +113,7 @@
 
 #[actix_rt::test]
 async fn cut_stream_entry_killed() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let url = cluster.url("entry-1");
     let stream = actix_rt::spawn(async move { caller::chat(&url, PROMPT, TOKENS).await });
     cluster.wait_for_events("entry-1", 1, EVENTS).await;
@@ -138,7 +128,7 @@
 
 #[actix_rt::test]
 async fn run_once_entry_killed() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let url = cluster.url("entry-1");
     let first = actix_rt::spawn(async move { caller::book(&url, "key-1", "bench 4").await });
     wait_for_run(&cluster, "key-1").await;
@@ -153,7 +143,7 @@
 
 #[actix_rt::test]
 async fn run_once_agent_killed() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let url = cluster.url("entry-1");
     let first = actix_rt::spawn(async move { caller::book(&url, "key-2", "bench 4").await });
     let server = wait_for_run(&cluster, "key-2").await;
@@ -176,7 +166,7 @@
 
 #[actix_rt::test]
 async fn run_once_agent_frozen() {
-    let cluster = Cluster::start(plan()).await;
+    let cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let url = cluster.url("entry-1");
     let first = actix_rt::spawn(async move { caller::book(&url, "key-3", "bench 4").await });
     let server = wait_for_run(&cluster, "key-3").await;
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -25,16 +25,6 @@
     bookings: Vec<(String, Task)>,
 }
 
-fn plan() -> Plan {
-    Plan {
-        entries: vec!["entry-1", "entry-2"],
-        engines: vec![("engine-1", "accra-1"), ("engine-2", "accra-2")],
-        services: vec![("service-1", "accra-1"), ("service-2", "accra-2")],
-        service: service::Settings { delay: BOOKING, ..Default::default() },
-        ..Plan::default()
-    }
-}
-
 impl Load {
     /// Sends streams and bookings through an entry, and waits until all run.
     async fn start(cluster: &Cluster, entry: &str) -> Load {
@@ -88,7 +78,7 @@
 
 #[actix_rt::test]
 async fn drain_entry_under_load() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let load = Load::start(&cluster, "entry-1").await;
     let operations = cluster.entries["entry-1"].operations;
     cluster.entries["entry-1"].process.signal("TERM");
@@ -119,7 +109,7 @@
 
 #[actix_rt::test]
 async fn drain_agents_under_load() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let load = Load::start(&cluster, "entry-1").await;
     for agent in ["engine-1", "service-1"] {
         cluster.agents[agent].process.signal("TERM");
@@ -154,7 +144,7 @@
 /// An agent that stops leaves the answers of its bookings in the claim log.
 #[actix_rt::test]
 async fn record_bookings_before_stop() {
-    let mut cluster = Cluster::start(plan()).await;
+    let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
     let load = Load::start(&cluster, "entry-1").await;
     let services = ["service-1", "service-2"];
     let keys: Vec<String> = load.bookings.iter().map(|(key, _)| key.clone()).collect();
