--- /dev/null
+++ b/bins/wisteria-gateway/src/cmd/flags.rs
@@ -0,0 +1,16 @@
+//! The flags of the command line.
+#![allow(missing_docs)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// The entry daemon that sends straight to backend servers.
+    ///
+    /// Exit codes: 0 stopped as told, 1 could not run, 2 bad command line or settings.
+    cmd gateway {
+        /// Settings in JSON.
+        required --settings file: PathBuf
+        /// Check the settings and exit.
+        optional --check
+    }
+}
--- /dev/null
+++ b/bins/wisteria-gateway/src/cmd/serve.rs
@@ -0,0 +1,13 @@
+//! Serves until told to stop.
+
+use std::process::ExitCode;
+
+use crate::cmd::flags::Gateway;
+
+/// Runs the daemon, or only checks its settings.
+pub fn run(flags: Gateway) -> ExitCode {
+    let path = flags.settings.clone();
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    let run = |settings| gateway::run(settings, path, daemon::stopped());
+    daemon::start_with(flags, telemetry::init_json_log, run)
+}
--- /dev/null
+++ b/bins/wisteria-gateway/src/main.rs
@@ -0,0 +1,13 @@
+//! The daemon that sends callers' requests straight to backend servers:
+//! `wisteria-gateway --settings FILE.json [--check]`.
+
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cmd::flags::Gateway::from_env() {
+        Ok(flags) => cmd::serve::run(flags),
+        Err(error) => error.exit(),
+    }
+}
--- /dev/null
+++ b/components/balance/src/balancer.rs
@@ -0,0 +1,541 @@
+//! The decisions of an entry: admission, choice, retries and what it believes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tables::Name;
+
+use crate::budget::Budget;
+use crate::choice::{self, Need};
+use crate::config::{Config, Unmatched};
+use crate::content::{Kind, Peer};
+use crate::crash::Register;
+use crate::gossip::{Heartbeat, Message, Work};
+use crate::member::Member;
+use crate::ticket::{Ask, Next, Outcome, Reason, Refusal, Target, Ticket};
+use crate::view::{Update, View};
+
+/// Share of the platform's retry budget that is used. The rest covers entries
+/// that don't know of each other for a moment.
+const BUDGET_USED: f64 = 0.7;
+
+/// Time since an entry was last heard after which it has no share of what all
+/// entries have together.
+const PEER_LIFETIME: Duration = Duration::from_secs(8);
+
+/// Time that an entry may be behind another before it asks that one: the
+/// store's own answer is usually on its way.
+const PULL_AFTER: Duration = Duration::from_millis(120);
+
+/// Least time between two questions about the same kind.
+const PULL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between two heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// Bounds of the wait that a refused caller is told when servers are full or
+/// missing. Spread over the time in which running requests end.
+const RETRY_AFTER: (f64, f64) = (0.3, 1.2);
+
+/// Least time left for which an attempt is worth sending.
+const WORTH_SENDING: Duration = Duration::from_millis(20);
+
+/// Limits that all entries keep together. From the platform's settings.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Retries allowed for each request.
+    pub retry_ratio: f64,
+    /// Retries allowed in a window besides.
+    pub retry_slack: f64,
+    /// Length of the window.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "retry_window_ms")]
+    pub retry_window: Duration,
+}
+
+/// Who the entry is.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of its host.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Link at which it takes frames.
+    pub link: Name,
+    /// Links of entries that may be there at the start.
+    pub seeds: Vec<Name>,
+    /// Limits that all entries keep together.
+    pub limits: Limits,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// Another entry.
+#[derive(Clone, Debug)]
+struct Neighbour {
+    link: Name,
+    heard: Duration,
+    incarnation: u64,
+}
+
+/// A kind in which some other entry knows more.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    since: Duration,
+    asked: Option<Duration>,
+}
+
+/// The state of an entry.
+pub struct Balancer {
+    options: Options,
+    view: View,
+    members: BTreeMap<Name, Member>,
+    budgets: BTreeMap<Name, Budget>,
+    neighbours: BTreeMap<Name, Neighbour>,
+    behind: BTreeMap<Kind, Behind>,
+    crashes: Register,
+    rng: ChaCha8Rng,
+    leaving: bool,
+}
+
+impl Balancer {
+    /// An entry that knows nothing yet.
+    pub fn new(options: Options) -> Balancer {
+        Balancer {
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            options,
+            view: View::default(),
+            members: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            neighbours: BTreeMap::new(),
+            behind: BTreeMap::new(),
+            crashes: Register::default(),
+            leaving: false,
+        }
+    }
+
+    /// Whether requests can be served: a configuration and the servers are known.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && self.view.config().is_some() && self.view.is_known(Kind::Server)
+    }
+
+    /// Takes over changed limits.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.options.limits = limits;
+    }
+
+    /// The entry stops: it is not ready any more.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether the entry is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// The configuration in force here.
+    pub fn config(&self) -> Option<&Config> {
+        self.view.config()
+    }
+
+    /// The revision up to which a kind is known.
+    pub fn revision(&self, kind: Kind) -> u64 {
+        self.view.revision(kind)
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn note_return(&mut self, now: Duration) {
+        self.view.note_return(now);
+    }
+
+    /// Takes in what the store or another entry says. Returns whether anything
+    /// changed.
+    pub fn learn(&mut self, now: Duration, update: Update) -> bool {
+        let changed = self.view.apply(now, update);
+        if changed {
+            self.refresh_members(now);
+        }
+        changed
+    }
+
+    fn refresh_members(&mut self, now: Duration) {
+        let servers = self.view.servers(now);
+        self.members.retain(|name, member| servers.contains_key(name) || member.own.open > 0);
+        for (name, member) in &mut self.members {
+            if !servers.contains_key(name) {
+                member.server.draining = true;
+            }
+        }
+        for (name, server) in servers {
+            match self.members.get_mut(&name) {
+                Some(member) => member.update(now, server),
+                None => drop(self.members.insert(name, Member::new(now, server))),
+            }
+        }
+    }
+
+    /// Finds route, account and pool of a request.
+    ///
+    /// # Errors
+    ///
+    /// The final answer, if the request can't be admitted.
+    pub fn admit(&mut self, now: Duration, ask: &Ask<'_>) -> Result<Ticket, Refusal> {
+        let Some(config) = self.view.config() else {
+            return Err(self.refuse_not_run(Reason::Unconfigured));
+        };
+        let (route, account) = match config.resolve(ask.host, ask.path, ask.key) {
+            Ok(found) => found,
+            Err(unmatched) => return Err(refuse_unmatched(unmatched)),
+        };
+        let patience = ask.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        let shares = route.pools.clone();
+        let mut ticket = Ticket {
+            route: route.name.clone(),
+            pool: Name::default(),
+            account: account.map(|account| account.name.clone()),
+            kind: route.kind,
+            arrived: now,
+            deadline: now + patience,
+            objective: route.objective,
+            attempts_left: route.attempts.max(1),
+            tried: Vec::new(),
+            may_have_run: false,
+            begun: false,
+            prompt_tokens: ask.prompt_tokens,
+            fingerprint: ask.fingerprint,
+        };
+        ticket.pool = self.draw_pool(&shares);
+        if self.crashes.is_barred(now, ask.fingerprint) {
+            return Err(self.refuse_not_run(Reason::Crashes));
+        }
+        self.budget(now, &ticket.pool).earn(now);
+        Ok(ticket)
+    }
+
+    /// A pool by the weights of a route.
+    fn draw_pool(&mut self, shares: &[(Name, u32)]) -> Name {
+        let total: u32 = shares.iter().map(|(_, weight)| weight).sum();
+        let mut drawn = if total > 0 { self.rng.random_range(0..total) } else { 0 };
+        for (pool, weight) in shares {
+            if drawn < *weight {
+                return pool.clone();
+            }
+            drawn -= weight;
+        }
+        shares.first().map_or(Name::default(), |(pool, _)| pool.clone())
+    }
+
+    /// The backend server for the first attempt.
+    ///
+    /// # Errors
+    ///
+    /// The final answer, if there is none.
+    pub fn choose(&mut self, now: Duration, ticket: &mut Ticket) -> Result<Target, Refusal> {
+        if now + WORTH_SENDING >= ticket.deadline {
+            return Err(self.refuse(ticket, Reason::Expired));
+        }
+        match self.pick(now, ticket) {
+            Ok(server) => Ok(self.send(now, ticket, server)),
+            Err(reason) => Err(self.refuse(ticket, reason)),
+        }
+    }
+
+    fn pick(&mut self, now: Duration, ticket: &Ticket) -> Result<Name, Reason> {
+        let entries = self.entries(now);
+        let pool = self.view.config().and_then(|config| config.pools.get(&ticket.pool));
+        let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
+        let engine = pool.and_then(|pool| pool.engine);
+        let need = Need { zone: &self.options.zone, engine: engine.as_ref() };
+        let view = &self.view;
+        let usable = |(name, member): &(&Name, &mut Member)| {
+            member.server.pool == ticket.pool
+                && member.is_usable(now)
+                && !ticket.tried.contains(name)
+                && !view.is_zone_out(&member.server.zone)
+        };
+        let (mut any, mut cold) = (false, false);
+        let mut offered = Vec::new();
+        for (name, member) in self.members.iter_mut().filter(usable) {
+            any = true;
+            if member.is_cold(now)
+                && cold_rate > 0.0
+                && !member.bucket.is_open(now, cold_rate, entries)
+            {
+                cold = true;
+                continue;
+            }
+            offered.push(name.clone());
+        }
+        let not_full = |name: &&Name| !choice::is_full(now, &self.members[*name], need);
+        let open: Vec<&Name> = offered.iter().filter(not_full).collect();
+        let scored = open.into_iter().map(|name| (name, &self.members[name]));
+        match choice::least(now, scored, need, &mut self.rng) {
+            Some(server) => Ok(server),
+            None if !offered.is_empty() => Err(Reason::Full),
+            None if cold => Err(Reason::Cold),
+            None if any => Err(Reason::Full),
+            None => Err(Reason::NoServer),
+        }
+    }
+
+    /// Counts an attempt at a server.
+    fn send(&mut self, now: Duration, ticket: &mut Ticket, server: Name) -> Target {
+        ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
+        ticket.tried.push(server.clone());
+        let member = self.members.get_mut(&server).expect("chosen from the members");
+        let cold = member.is_cold(now);
+        if cold {
+            member.bucket.take();
+        }
+        let open = member.work(now).open;
+        let work = Work { open: 1, unread: 1, tokens: ticket.prompt_tokens };
+        member.own = member.own.plus(work);
+        Target { address: member.server.address, server, open, cold }
+    }
+
+    /// The first event or the whole answer of an attempt has come.
+    pub fn note_first(&mut self, server: &str, prompt_tokens: u32) {
+        if let Some(member) = self.members.get_mut(server) {
+            member.own.unread = member.own.unread.saturating_sub(1);
+            member.own.tokens = member.own.tokens.saturating_sub(prompt_tokens);
+        }
+    }
+
+    /// An attempt at a server is over.
+    pub fn release(&mut self, server: &str) {
+        if let Some(member) = self.members.get_mut(server) {
+            member.own.open = member.own.open.saturating_sub(1);
+        }
+    }
+
+    /// An attempt ended with a sound answer.
+    pub fn succeed(&mut self, ticket: &Ticket) {
+        if let Some(member) = ticket.tried.last().and_then(|name| self.members.get_mut(name)) {
+            member.succeed();
+        }
+        self.crashes.clear(ticket.fingerprint);
+    }
+
+    /// An attempt failed: what follows.
+    pub fn fail(&mut self, now: Duration, ticket: &mut Ticket, outcome: Outcome) -> Next {
+        self.judge(now, ticket, outcome);
+        let ran =
+            !matches!(outcome, Outcome::Unconnected | Outcome::Refused | Outcome::Misdirected);
+        ticket.may_have_run |= ran;
+        let reason = self.reason_to_stop(now, ticket, outcome);
+        if let Some(reason) = reason {
+            return Next::Stop(self.refuse(ticket, reason));
+        }
+        match self.pick(now, ticket) {
+            Ok(server) => {
+                let pool = ticket.pool.clone();
+                if !self.budget(now, &pool).spend(now) {
+                    return Next::Stop(self.refuse(ticket, Reason::Budget));
+                }
+                Next::Retry(self.send(now, ticket, server))
+            }
+            Err(reason) => Next::Stop(self.refuse(ticket, reason)),
+        }
+    }
+
+    fn reason_to_stop(&self, now: Duration, ticket: &Ticket, outcome: Outcome) -> Option<Reason> {
+        if outcome == Outcome::Expired || now + WORTH_SENDING >= ticket.deadline {
+            return Some(Reason::Expired);
+        }
+        if ticket.may_have_run && !ticket.kind.is_repeatable() {
+            return Some(Reason::MayHaveRun);
+        }
+        if self.crashes.is_barred(now, ticket.fingerprint) {
+            return Some(Reason::Crashes);
+        }
+        (ticket.attempts_left == 0).then_some(Reason::Attempts)
+    }
+
+    /// What an outcome says of the server.
+    fn judge(&mut self, now: Duration, ticket: &Ticket, outcome: Outcome) {
+        let Some(name) = ticket.tried.last() else { return };
+        let Some(member) = self.members.get_mut(name) else { return };
+        match outcome {
+            Outcome::Misdirected => member.misdirect(),
+            Outcome::Refused | Outcome::Expired => {}
+            Outcome::Unconnected | Outcome::Failed => member.fail(now),
+            Outcome::Stale => self.crashes.add(now, ticket.fingerprint),
+            Outcome::Broken => {
+                member.fail(now);
+                self.crashes.add(now, ticket.fingerprint);
+            }
+        }
+    }
+
+    /// The final answer for a ticket. Only what certainly has not run is told
+    /// so and when to come back.
+    fn refuse(&mut self, ticket: &Ticket, reason: Reason) -> Refusal {
+        if ticket.may_have_run {
+            let status = if reason == Reason::Expired { 504 } else { 502 };
+            return Refusal { reason, status, retry_after: None };
+        }
+        self.refuse_not_run(reason)
+    }
+
+    fn refuse_not_run(&mut self, reason: Reason) -> Refusal {
+        let (least, most) = RETRY_AFTER;
+        let wait = Duration::from_secs_f64(self.rng.random_range(least..most));
+        Refusal { reason, status: 503, retry_after: Some(wait) }
+    }
+
+    fn budget(&mut self, now: Duration, pool: &Name) -> &mut Budget {
+        let limits = self.options.limits;
+        let window = limits.retry_window.as_secs_f64().max(1.0);
+        let floor = BUDGET_USED * limits.retry_slack / window / self.entries(now) as f64;
+        let ratio = BUDGET_USED * limits.retry_ratio;
+        let budget = self.budgets.entry(pool.clone()).or_insert_with(|| Budget::new(ratio, floor));
+        budget.set_floor(now, floor);
+        budget
+    }
+
+    /// The number of entries that share limits, this one included.
+    pub fn entries(&self, now: Duration) -> usize {
+        let live = self.neighbours.values().filter(|other| now < other.heard + PEER_LIFETIME);
+        1 + live.count()
+    }
+
+    /// What this entry writes about itself to the store.
+    pub fn self_description(&self) -> Peer {
+        Peer { link: self.options.link.clone(), zone: self.options.zone.clone() }
+    }
+
+    /// Takes in a message of another entry. Returns messages to send, with the
+    /// links they go to.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        from: &Name,
+        incarnation: u64,
+        link: &Name,
+        message: Message,
+    ) -> Vec<(Name, Message)> {
+        if *from == self.options.name || !self.is_current(from, incarnation) {
+            return Vec::new();
+        }
+        let neighbour = Neighbour { link: link.clone(), heard: now, incarnation };
+        self.neighbours.insert(from.clone(), neighbour);
+        match message {
+            Message::Heartbeat(heartbeat) => self.take_heartbeat(now, from, link, heartbeat),
+            Message::Pull(kind, since) => {
+                vec![(link.clone(), Message::Rows(kind, self.view.delta(kind, since)))]
+            }
+            Message::Rows(kind, delta) => {
+                self.learn(now, Update::Changes { kind, delta });
+                Vec::new()
+            }
+        }
+    }
+
+    /// Whether a frame comes from the newest process of its host that is known.
+    fn is_current(&self, from: &Name, incarnation: u64) -> bool {
+        self.neighbours.get(from).is_none_or(|known| incarnation >= known.incarnation)
+    }
+
+    fn take_heartbeat(
+        &mut self,
+        now: Duration,
+        from: &Name,
+        link: &Name,
+        heartbeat: Heartbeat,
+    ) -> Vec<(Name, Message)> {
+        if heartbeat.leaving {
+            self.neighbours.remove(from);
+        }
+        let loads: BTreeMap<Name, Work> = heartbeat.load.into_iter().collect();
+        for (name, member) in &mut self.members {
+            member.hear(now, from.clone(), loads.get(name).copied());
+        }
+        self.crashes.hear(now, from, &heartbeat.crashes);
+        let mut pulls = Vec::new();
+        for (kind, revision) in heartbeat.revisions {
+            if self.should_pull(now, kind, revision) {
+                let since = self.view.revision(kind);
+                pulls.push((link.clone(), Message::Pull(kind, since)));
+            }
+        }
+        pulls
+    }
+
+    /// Whether another entry's revision is so far ahead that it is asked.
+    fn should_pull(&mut self, now: Duration, kind: Kind, revision: u64) -> bool {
+        if revision <= self.view.revision(kind) {
+            self.behind.remove(&kind);
+            return false;
+        }
+        let behind = self.behind.entry(kind).or_insert(Behind { since: now, asked: None });
+        let patient = self.view.is_known(kind) && now < behind.since + PULL_AFTER;
+        if patient || behind.asked.is_some_and(|asked| now < asked + PULL_INTERVAL) {
+            return false;
+        }
+        behind.asked = Some(now);
+        true
+    }
+
+    /// The links of all other entries that are known.
+    pub fn links(&self) -> Vec<Name> {
+        let mut links: Vec<Name> =
+            self.neighbours.values().map(|other| other.link.clone()).collect();
+        links.extend(self.view.peers().map(|(_, peer)| peer.link.clone()));
+        if self.neighbours.is_empty() {
+            links.extend(self.options.seeds.iter().cloned());
+        }
+        links.sort();
+        links.dedup();
+        links.retain(|link| *link != self.options.link);
+        links
+    }
+
+    /// What the other entries are told.
+    pub fn heartbeat(&self) -> Message {
+        let revisions = Kind::ALL.iter().map(|kind| (*kind, self.view.revision(*kind))).collect();
+        let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
+        let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
+        let leaving = self.leaving;
+        Message::Heartbeat(Heartbeat { revisions, load, crashes: self.crashes.told(), leaving })
+    }
+
+    /// Drops what has grown old.
+    pub fn tick(&mut self, now: Duration) {
+        if self.view.has_lapsed() {
+            self.refresh_members(now);
+        }
+        self.neighbours.retain(|_, other| now < other.heard + PEER_LIFETIME * 4);
+    }
+
+    /// The state as JSON.
+    pub fn dump(&self, now: Duration) -> serde_json::Value {
+        let members: BTreeMap<_, _> =
+            self.members.iter().map(|(name, member)| (name, member.show(now))).collect();
+        let revisions: BTreeMap<_, _> =
+            Kind::ALL.iter().map(|kind| (format!("{kind:?}"), self.view.revision(*kind))).collect();
+        serde_json::json!({
+            "name": self.options.name,
+            "zone": self.options.zone,
+            "ready": self.is_ready(),
+            "entries": self.entries(now),
+            "config_version": self.config().map(|config| config.version),
+            "revisions": revisions,
+            "members": members,
+        })
+    }
+}
+
+fn refuse_unmatched(unmatched: Unmatched) -> Refusal {
+    let (reason, status) = match unmatched {
+        Unmatched::Route => (Reason::Unrouted, 404),
+        Unmatched::Key => (Reason::Unauthorized, 401),
+    };
+    Refusal { reason, status, retry_after: None }
+}
--- a/components/routing/src/budget.rs
+++ b/components/balance/src/budget.rs
@@ -21,7 +21,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// let mut budget = routing::budget::Budget::new(0.5, 0.0);
+    /// let mut budget = balance::budget::Budget::new(0.5, 0.0);
     /// budget.earn(Duration::ZERO);
     /// assert!(!budget.spend(Duration::ZERO));
     /// budget.earn(Duration::ZERO);
@@ -47,6 +47,19 @@
         true
     }
 
+    /// Changes the retries a second that need no first attempts.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut budget = balance::budget::Budget::new(0.0, 0.0);
+    /// budget.set_floor(Duration::ZERO, 1.0);
+    /// assert!(budget.spend(Duration::from_secs(1)));
+    /// ```
+    pub fn set_floor(&mut self, now: Duration, floor: f64) {
+        self.refill(now);
+        self.floor = floor;
+    }
+
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
--- /dev/null
+++ b/components/balance/src/cold.rs
@@ -0,0 +1,39 @@
+//! The rate of requests to a cold backend server, shared over all entries.
+
+use std::time::Duration;
+
+/// Share of the tolerated rate that is used. The rest covers entries that
+/// don't know of each other for a moment.
+const USED_SHARE: f64 = 0.9;
+
+/// Requests that may be sent at one instant.
+const BURST: f64 = 2.0;
+
+/// A token bucket for one cold backend server.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// A bucket that holds one request.
+    pub fn new(now: Duration) -> Bucket {
+        Bucket { tokens: 1.0, at: now }
+    }
+
+    /// Refills at `rate` requests a second over all `entries`, and says
+    /// whether a request may be sent.
+    pub fn is_open(&mut self, now: Duration, rate: f64, entries: usize) -> bool {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        let share = rate * USED_SHARE / entries.max(1) as f64;
+        self.tokens = (self.tokens + passed * share).min(BURST);
+        self.tokens >= 1.0
+    }
+
+    /// Takes one request out.
+    pub fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+}
--- /dev/null
+++ b/components/balance/src/gossip.rs
@@ -0,0 +1,61 @@
+//! What entries tell each other: how far they know the store, how much they
+//! sent to each backend server and which requests crashed some.
+
+use serde::{Deserialize, Serialize};
+use tables::Name;
+
+use crate::content::Kind;
+use crate::view::Delta;
+
+/// A message between entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Sent at a steady pace and after each change.
+    Heartbeat(Heartbeat),
+    /// Send me what changed in a kind after a revision.
+    Pull(Kind, u64),
+    /// What the receiver lacks.
+    Rows(Kind, Delta),
+}
+
+/// An entry's state in short.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Revision up to which each kind is known.
+    pub revisions: Vec<(Kind, u64)>,
+    /// Work that the entry has open at backend servers.
+    pub load: Vec<(Name, Work)>,
+    /// Requests that crashed backend servers, by fingerprint, with the number
+    /// of crashes that this entry saw.
+    pub crashes: Vec<(u64, u32)>,
+    /// Whether the entry is leaving.
+    pub leaving: bool,
+}
+
+/// Open work at a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests that are open.
+    pub open: u32,
+    /// Requests whose first event has not come.
+    pub unread: u32,
+    /// Prompt tokens of requests whose first event has not come.
+    pub tokens: u32,
+}
+
+impl Work {
+    /// The sum of two.
+    ///
+    /// ```
+    /// use balance::gossip::Work;
+    /// let one = Work { open: 1, unread: 1, tokens: 700 };
+    /// assert_eq!(one.plus(one).tokens, 1400);
+    /// ```
+    pub fn plus(self, other: Work) -> Work {
+        Work {
+            open: self.open + other.open,
+            unread: self.unread + other.unread,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+}
--- /dev/null
+++ b/components/balance/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of an entry that sends requests straight to backend servers.
+//!
+//! [`Balancer`] holds what the entry believes and decides; it has no clock, no
+//! socket and no randomness but its seed. The daemon around it carries out.
+
+pub mod balancer;
+pub mod budget;
+pub mod choice;
+pub mod cold;
+pub mod config;
+pub mod content;
+pub mod crash;
+pub mod gossip;
+pub mod member;
+pub mod ticket;
+pub mod view;
+
+pub use balancer::{Balancer, Limits, Options};
+pub use ticket::{Ask, Next, Outcome, Reason, Refusal, Target, Ticket};
+pub use view::{Update, View};
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,9 +6,9 @@
 mod start;
 
 pub use error::Error;
-pub use server::{ListenError, serve};
+pub use server::{ListenError, Options, serve, serve_with};
 pub use signal::stopped;
-pub use start::{Flags, start};
+pub use start::{Flags, start, start_with};
 
 /// Microseconds since the Unix epoch, as the incarnation of a process: it rises
 /// with each start on a host.
--- a/components/daemon/src/start.rs
+++ b/components/daemon/src/start.rs
@@ -25,6 +25,20 @@
 /// Bad settings are shown with their places in the file and end the process
 /// with exit code 2 before anything is started.
 pub fn start<T, E, F>(flags: Flags, run: impl FnOnce(T) -> F) -> ExitCode
+where
+    T: DeserializeOwned + Check,
+    E: miette::Diagnostic + Send + Sync + 'static,
+    F: Future<Output = Result<(), E>>,
+{
+    start_with(flags, || telemetry::init_log(telemetry::Level::Info), run)
+}
+
+/// As [`start`], with a log of the daemon's own.
+pub fn start_with<T, E, F>(
+    flags: Flags,
+    init_log: impl FnOnce() -> Result<(), telemetry::LogError>,
+    run: impl FnOnce(T) -> F,
+) -> ExitCode
 where
     T: DeserializeOwned + Check,
     E: miette::Diagnostic + Send + Sync + 'static,
@@ -41,7 +55,7 @@
         println!("{}: settings are good", flags.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = telemetry::init_log(telemetry::Level::Info) {
+    if let Err(error) = init_log() {
         eprintln!("{error}");
     }
     match actix_rt::System::new().block_on(run(settings)) {
--- /dev/null
+++ b/components/gateway/src/backend.rs
@@ -0,0 +1,146 @@
+//! Connections to backend servers: one request at a time on each.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::Error;
+
+/// Time for a new connection. A lost opening packet is sent again only after a
+/// second, so another backend server is quicker.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time without acknowledgement after which a connection is dead. Below the
+/// two seconds after which callers give up a silent stream.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Idle time of a connection after which the kernel probes it.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Idle time after which a connection isn't used again, where the backend
+/// server states none.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Part of the stated idle time that is used.
+const IDLE_SHARE: f64 = 0.6;
+
+/// A connection that serves one request at a time.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    idle_limit: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // Closes the socket, which stops the backend server's work.
+        self.driver.abort();
+    }
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<(Connection, Instant)>>>,
+}
+
+impl Pool {
+    /// An idle connection that was used less than `age` ago.
+    pub fn take(&self, address: SocketAddr, age: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        while let Some((connection, since)) = connections.pop() {
+            let limit = connection.idle_limit.min(age);
+            if connection.sender.is_ready() && since.elapsed() < limit {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer is complete.
+    pub fn put(&self, connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(connection.address).or_default().push((connection, Instant::now()));
+    }
+
+    /// Drops connections that are closed or idle for too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|(connection, since)| {
+                !connection.sender.is_closed() && since.elapsed() < connection.idle_limit
+            });
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// [`Error::Unconnected`] if it doesn't come about in time.
+pub async fn connect(address: SocketAddr) -> Result<Connection, Error> {
+    let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| Error::Unconnected)?.map_err(|_| Error::Unconnected)?;
+    if let Err(error) = tune(&stream) {
+        log::warn!(target: "backend", address:%, error:%; "socket options refused");
+    }
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| Error::Unconnected)?;
+    let driver = actix_rt::spawn(async move {
+        // How it ended shows at the request that was under way.
+        let _ = connection.await;
+    });
+    Ok(Connection { address, sender, driver, idle_limit: IDLE_LIMIT })
+}
+
+fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unconnected`] if nothing was sent, [`Error::Broken`] otherwise.
+    pub async fn send(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<Incoming>, Error> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(Error::Unconnected),
+                None => Err(Error::Broken),
+            },
+        }
+    }
+
+    /// Notes how long the backend server keeps the connection when idle.
+    pub fn set_idle_limit(&mut self, stated: Duration) {
+        self.idle_limit = stated.mul_f64(IDLE_SHARE);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/error.rs
@@ -0,0 +1,72 @@
+//! How an exchange with a backend server fails.
+
+use balance::Outcome;
+
+/// Why an attempt brought no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No connection came about; nothing was sent.
+    #[error("no connection")]
+    Unconnected,
+    /// The backend server says that it did not run the request.
+    #[error("refused with status {status}")]
+    Refused {
+        /// Status of the refusal.
+        status: u16,
+    },
+    /// Another backend server answers at the address.
+    #[error("another backend server answers at the address")]
+    Misdirected,
+    /// The connection ended before the answer was whole.
+    #[error("the connection broke off")]
+    Broken,
+    /// A connection that had been idle ended when it was used.
+    #[error("an idle connection ended when it was used")]
+    Stale,
+    /// The backend server answered with a failure of its own.
+    #[error("the backend server failed with status {status}")]
+    Failed {
+        /// Status of the failure.
+        status: u16,
+    },
+    /// The answer belongs to another request.
+    #[error("the answer belongs to another request")]
+    Foreign,
+    /// The answer lacks the signature, or is encoded.
+    #[error("the answer is not the backend server's own")]
+    Unsigned,
+    /// An event is out of order.
+    #[error("event {found} follows event {last}")]
+    Disordered {
+        /// Number of the event before.
+        last: u64,
+        /// Number of the event.
+        found: u64,
+    },
+    /// Nothing came for too long.
+    #[error("the backend server is silent")]
+    Silent,
+    /// The time for the request is over.
+    #[error("the time is over")]
+    Expired,
+}
+
+impl Error {
+    /// What the failure means for the request.
+    ///
+    /// ```
+    /// use gateway::Error;
+    /// assert_eq!(Error::Refused { status: 503 }.outcome(), balance::Outcome::Refused);
+    /// ```
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Error::Unconnected => Outcome::Unconnected,
+            Error::Refused { .. } => Outcome::Refused,
+            Error::Misdirected => Outcome::Misdirected,
+            Error::Expired => Outcome::Expired,
+            Error::Stale => Outcome::Stale,
+            Error::Silent | Error::Failed { .. } => Outcome::Failed,
+            _ => Outcome::Broken,
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/front.rs
@@ -0,0 +1,118 @@
+//! The callers' side.
+
+use std::rc::Rc;
+
+use actix_web::web::Payload;
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use balance::Refusal;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use http::response::Parts;
+
+use crate::relay::{Context, Relay, Reply};
+use crate::request::{Request, answer_headers};
+
+/// Largest body before a configuration is known, in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// Serves one request.
+pub async fn serve(context: Rc<Context>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    context.shared.meter.requests.add(1);
+    let leaving = context.shared.is_leaving();
+    let mut response = answer(context, &request, payload).await;
+    if leaving {
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
+
+async fn answer(context: Rc<Context>, request: &HttpRequest, payload: Payload) -> HttpResponse {
+    let Ok(mut read) = Request::read(request) else {
+        log::info!(target: "request", status = 400; "malformed head");
+        return HttpResponse::BadRequest().finish();
+    };
+    let limit = context.shared.balancer().config().map_or(BODY_LIMIT, |config| config.limits.body);
+    match read_body(payload, limit).await {
+        Ok(body) => read.body = body,
+        Err(status) => {
+            log::info!(target: "request", id:% = read.id, status = status, limit = limit;
+                "body not taken");
+            return builder(status).force_close().finish();
+        }
+    }
+    let id = read.id.clone();
+    let relay = match Relay::begin(context.clone(), read) {
+        Ok(relay) => relay,
+        Err(refusal) => {
+            context.shared.meter.refused.add(1);
+            log::info!(target: "request", id:% = id, status = refusal.status,
+                reason:% = refusal.reason,
+                retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
+                "refused");
+            return refuse(&id, refusal);
+        }
+    };
+    match Box::new(relay).run().await {
+        Reply::Whole(answer) => head(&answer.head).body(answer.body),
+        Reply::Stream(parts, relay) => {
+            let events = futures_util::stream::unfold(relay, |mut relay| async move {
+                let events = relay.next().await?;
+                Some((events.map_err(Cut), relay))
+            });
+            head(&parts).streaming(Box::pin(events))
+        }
+        Reply::Refused(refusal) => refuse(&id, refusal),
+    }
+}
+
+/// A stream that can't be completed: the caller's connection is broken off.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream was cut: {}", .0.reason)]
+struct Cut(Refusal);
+
+impl From<Cut> for actix_web::Error {
+    fn from(cut: Cut) -> actix_web::Error {
+        actix_web::error::ErrorBadGateway(cut.to_string())
+    }
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<bytes::Bytes, u16> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| 400u16)?;
+        if body.len() + chunk.len() > limit {
+            return Err(413);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn head(parts: &Parts) -> HttpResponseBuilder {
+    let mut builder = builder(parts.status.as_u16());
+    for (name, value) in answer_headers(&parts.headers) {
+        let name = actix_web::http::header::HeaderName::from_bytes(name.as_bytes());
+        let value = actix_web::http::header::HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder.append_header((name, value));
+        }
+    }
+    builder
+}
+
+fn builder(status: u16) -> HttpResponseBuilder {
+    let status = actix_web::http::StatusCode::from_u16(status);
+    HttpResponseBuilder::new(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY))
+}
+
+/// The entry's own final answer.
+fn refuse(id: &str, refusal: Refusal) -> HttpResponse {
+    let mut builder = builder(refusal.status);
+    if !id.is_empty() {
+        builder.insert_header((adapter::header::REQUEST_ID, id));
+    }
+    if let Some(wait) = refusal.retry_after {
+        builder.insert_header(("retry-after", format!("{:.2}", wait.as_secs_f64())));
+    }
+    builder.body(refusal.reason.to_string())
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! An entry that sends callers' requests straight to backend servers.
+//!
+//! All decisions are made by [`balance::Balancer`]; this crate reads requests,
+//! speaks to backend servers, follows the store and tells the other entries.
+
+pub mod backend;
+mod error;
+pub mod events;
+mod front;
+mod meter;
+mod operations;
+mod peers;
+mod relay;
+mod reload;
+mod request;
+mod run;
+mod settings;
+mod shared;
+mod store;
+
+pub use error::Error;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,86 @@
+//! Frames between entries.
+
+use std::sync::Arc;
+
+use balance::balancer::HEARTBEAT;
+use balance::content::Kind;
+use balance::gossip::Message;
+use tables::Name;
+use tokio::sync::mpsc;
+use wire::{Frame, Link, Sender};
+
+use crate::shared::Shared;
+
+/// Takes and sends frames until the future is dropped.
+///
+/// # Errors
+///
+/// If the link's address can't be listened on.
+pub fn start(
+    shared: Arc<Shared>,
+    name: Name,
+    link: Name,
+) -> Result<impl Future<Output = ()>, wire::LinkError> {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let identity = Sender { name, incarnation: daemon::incarnation(), link };
+    let link = Link::open(identity, move |frame| {
+        // The receiver is gone only when the process ends.
+        let _ = sender.send(frame);
+    })?;
+    Ok(talk(shared, link, receiver))
+}
+
+async fn talk(shared: Arc<Shared>, mut link: Link, mut frames: mpsc::UnboundedReceiver<Frame>) {
+    let mut beat = actix_rt::time::interval(HEARTBEAT);
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut known: Vec<Name> = Vec::new();
+    loop {
+        tokio::select! {
+            _ = beat.tick() => {
+                let now = shared.now();
+                let mut balancer = shared.balancer();
+                balancer.tick(now);
+                let links = balancer.links();
+                let heartbeat = balancer.heartbeat();
+                drop(balancer);
+                for gone in known.iter().filter(|name| !links.contains(name)) {
+                    link.forget(gone);
+                }
+                for address in &links {
+                    push(&mut link, address, heartbeat.clone());
+                }
+                known = links;
+            }
+            frame = frames.recv() => {
+                let Some(frame) = frame else { return };
+                for (address, message) in hear(&shared, frame) {
+                    push(&mut link, &address, message);
+                }
+            }
+        }
+        let revision = shared.balancer().revision(Kind::Config);
+        link.flush(revision);
+    }
+}
+
+fn push(link: &mut Link, address: &Name, message: Message) {
+    if let Err(error) = link.push(address, wire::Message::Entry(message)) {
+        log::warn!(target: "peers", address:% = address, error:% = error; "link failed");
+    }
+}
+
+fn hear(shared: &Shared, frame: Frame) -> Vec<(Name, Message)> {
+    let now = shared.now();
+    let mut balancer = shared.balancer();
+    let mut replies = Vec::new();
+    let sender = frame.sender;
+    for message in frame.messages {
+        let wire::Message::Entry(message) = message else { continue };
+        if let Message::Rows(kind, delta) = &message {
+            log::info!(target: "peers", from:% = sender.name, kind:? = kind,
+                revision = delta.revision, rows = delta.rows.len(); "rows from another entry");
+        }
+        replies.extend(balancer.hear(now, &sender.name, sender.incarnation, &sender.link, message));
+    }
+    replies
+}
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,443 @@
+//! One request at backend servers: attempts, whole answers and streams.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::header;
+use balance::config::Kind;
+use balance::{Next, Refusal, Target, Ticket};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::Error;
+use crate::backend::{self, Connection, Pool};
+use crate::events::Splitter;
+use crate::request::Request;
+use crate::shared::{Open, Shared};
+
+/// Largest whole answer, in bytes. The platform's largest body.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Age of an idle connection up to which work that must not be repeated uses
+/// it: a backend server that closes it meanwhile would leave its fate open.
+const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Silence of a stream after which another backend server is tried. Below the
+/// two seconds after which callers give up.
+const STREAM_SILENCE: Duration = Duration::from_millis(1700);
+
+/// Silence of an idempotent request after which another backend server is
+/// tried, in objectives, and its least value.
+const SILENCE_OBJECTIVES: f64 = 2.0;
+const SILENCE_MIN: Duration = Duration::from_millis(400);
+
+/// What every request on a thread uses.
+pub struct Context {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+    /// Connections of the thread.
+    pub pool: Pool,
+}
+
+/// A whole answer of a backend server.
+pub struct Answer {
+    /// Status, headers; the body is beside it.
+    pub head: http::response::Parts,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What comes of a request.
+pub enum Reply {
+    /// A whole answer.
+    Whole(Answer),
+    /// A stream whose head has come.
+    Stream(http::response::Parts, Box<Relay>),
+    /// No backend server answers.
+    Refused(Refusal),
+}
+
+/// Counts an attempt at a backend server until it is dropped.
+struct Attempt {
+    shared: Arc<Shared>,
+    server: tables::Name,
+    prompt_tokens: u32,
+    first: bool,
+}
+
+impl Attempt {
+    fn note_first(&mut self) {
+        if !std::mem::replace(&mut self.first, true) {
+            self.shared.balancer().note_first(&self.server, self.prompt_tokens);
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.note_first();
+        self.shared.balancer().release(&self.server);
+    }
+}
+
+/// A request on its way.
+pub struct Relay {
+    context: Rc<Context>,
+    request: Request,
+    ticket: Ticket,
+    target: Target,
+    // Dropped before the connection, so that the count never lags behind.
+    attempt: Option<Attempt>,
+    source: Option<(Connection, Incoming)>,
+    events: Splitter,
+    finished: bool,
+    _open: Open,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.context.shared.meter.left.add(1);
+            let now = self.context.shared.now();
+            log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
+                age_ms = (now - self.ticket.arrived).as_millis() as u64; "caller left");
+        }
+    }
+}
+
+impl Relay {
+    /// Admits a request and sends it to its first backend server.
+    ///
+    /// # Errors
+    ///
+    /// The final answer, if there is no backend server for it.
+    pub fn begin(context: Rc<Context>, request: Request) -> Result<Relay, Refusal> {
+        let shared = context.shared.clone();
+        let now = shared.now();
+        let mut balancer = shared.balancer();
+        let ask = balance::Ask {
+            host: &request.host,
+            path: request.target.path(),
+            key: request.key.as_deref(),
+            patience: request.patience,
+            prompt_tokens: request.prompt_tokens,
+            fingerprint: request.fingerprint(),
+        };
+        let mut ticket = balancer.admit(now, &ask)?;
+        let target = balancer.choose(now, &mut ticket)?;
+        drop(balancer);
+        let events = Splitter::new(request.last_event.unwrap_or_default());
+        let open = shared.enter();
+        let mut relay = Relay {
+            context,
+            request,
+            ticket,
+            target,
+            attempt: None,
+            source: None,
+            events,
+            finished: false,
+            _open: open,
+        };
+        relay.begin_attempt();
+        Ok(relay)
+    }
+
+    fn shared(&self) -> &Arc<Shared> {
+        &self.context.shared
+    }
+
+    /// Counts and logs the attempt at the present target.
+    fn begin_attempt(&mut self) {
+        self.attempt = Some(Attempt {
+            shared: self.shared().clone(),
+            server: self.target.server.clone(),
+            prompt_tokens: self.ticket.prompt_tokens,
+            first: false,
+        });
+        let config = self.shared().balancer().config().map_or(0, |config| config.version);
+        log::info!(target: "request", id:% = self.request.id, route:% = self.ticket.route,
+            server:% = self.target.server, open = self.target.open, cold = self.target.cold,
+            attempt = self.ticket.tried.len(), config = config; "dispatched");
+    }
+
+    /// Tries backend servers until one answers or none is left.
+    pub async fn run(mut self: Box<Relay>) -> Reply {
+        loop {
+            let error = match self.exchange().await {
+                Ok((connection, response)) => match self.take(connection, response).await {
+                    Ok(Taken::Stream(head)) => return Reply::Stream(head, self),
+                    Ok(Taken::Whole(answer)) => match self.judge(answer) {
+                        Ok(answer) => return Reply::Whole(answer),
+                        Err(refusal) => return Reply::Refused(refusal),
+                    },
+                    Ok(Taken::Again) => continue,
+                    Err(error) => error,
+                },
+                Err(error) => error,
+            };
+            if let Err(refusal) = self.go_on(error) {
+                self.finish("refused", Some(refusal));
+                return Reply::Refused(refusal);
+            }
+        }
+    }
+
+    /// A whole answer: the end of the request.
+    fn judge(&mut self, answer: Answer) -> Result<Answer, Refusal> {
+        self.shared().balancer().succeed(&self.ticket);
+        self.finish("answered", None);
+        let age = self.shared().now() - self.ticket.arrived;
+        self.shared().meter.whole.record(age.as_secs_f64());
+        Ok(answer)
+    }
+
+    fn finish(&mut self, outcome: &'static str, refusal: Option<Refusal>) {
+        self.finished = true;
+        self.attempt = None;
+        let age = self.shared().now() - self.ticket.arrived;
+        let meter = &self.shared().meter;
+        match refusal {
+            Some(_) => meter.refused.add(1),
+            None => meter.answered.add(1),
+        }
+        let reason = refusal.map_or(String::new(), |refusal| refusal.reason.to_string());
+        log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
+            age_ms = age.as_millis() as u64, attempts = self.ticket.tried.len(),
+            reason:% = reason, status = refusal.map_or(0, |refusal| refusal.status),
+            last_event = self.events.last(); "{outcome}");
+    }
+
+    /// After a failed attempt: the next one, or the final answer.
+    fn go_on(&mut self, error: Error) -> Result<(), Refusal> {
+        self.attempt = None;
+        self.source = None;
+        let now = self.shared().now();
+        let next = self.context.shared.balancer().fail(now, &mut self.ticket, error.outcome());
+        log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
+            error:% = error, may_have_run = self.ticket.may_have_run,
+            next = matches!(next, Next::Retry(_)); "attempt failed");
+        match next {
+            Next::Retry(target) => {
+                self.shared().meter.retries.add(1);
+                self.target = target;
+                self.begin_attempt();
+                Ok(())
+            }
+            Next::Stop(refusal) => Err(refusal),
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn exchange(&mut self) -> Result<(Connection, Response<Incoming>), Error> {
+        let address = self.target.address;
+        let age = match self.ticket.kind {
+            Kind::Once | Kind::Stream { resumable: false } => ONCE_IDLE_LIMIT,
+            _ => Duration::MAX,
+        };
+        if let Some(connection) = self.context.pool.take(address, age) {
+            match self.send(connection).await {
+                Err(Error::Unconnected) => {}
+                Err(Error::Broken) => return Err(Error::Stale),
+                result => return result,
+            }
+        }
+        self.shared().meter.connections.add(1);
+        let connection = backend::connect(address).await?;
+        self.send(connection).await
+    }
+
+    async fn send(
+        &self,
+        mut connection: Connection,
+    ) -> Result<(Connection, Response<Incoming>), Error> {
+        let left = self.left()?;
+        let resumed = self.events.last();
+        let last_event = (resumed > 0).then_some(resumed);
+        let request = self.request.to_backend(&self.ticket, &self.target, left, last_event);
+        let (wait, silent) = self.wait(left);
+        let sent = actix_rt::time::timeout(wait, connection.send(request)).await;
+        let response = sent.map_err(|_| silent)??;
+        self.check(&response)?;
+        Ok((connection, response))
+    }
+
+    fn left(&self) -> Result<Duration, Error> {
+        let left = self.ticket.deadline.saturating_sub(self.shared().now());
+        if left.is_zero() { Err(Error::Expired) } else { Ok(left) }
+    }
+
+    /// How long to wait for the next sign of the backend server, and what its
+    /// absence means.
+    fn wait(&self, left: Duration) -> (Duration, Error) {
+        let silence = match self.ticket.kind {
+            Kind::Stream { resumable: true } => STREAM_SILENCE,
+            Kind::Idempotent => self.ticket.objective.mul_f64(SILENCE_OBJECTIVES).max(SILENCE_MIN),
+            _ => left,
+        };
+        let patient = self.ticket.attempts_left == 0 || silence >= left;
+        if patient { (left, Error::Expired) } else { (silence, Error::Silent) }
+    }
+
+    /// Whether the head belongs to the request and is the server's own.
+    fn check(&self, response: &Response<Incoming>) -> Result<(), Error> {
+        let status = response.status().as_u16();
+        let answer = read_answer(response);
+        if status == 421 {
+            return Err(Error::Misdirected);
+        }
+        let known = !self.request.id.is_empty();
+        if known && answer.id.is_some_and(|id| id != self.request.id.as_str()) {
+            return Err(Error::Foreign);
+        }
+        if answer.not_run {
+            return Err(Error::Refused { status });
+        }
+        let success = response.status().is_success();
+        if success && (!answer.signed || answer.encoded || (known && answer.id.is_none())) {
+            return Err(Error::Unsigned);
+        }
+        Ok(())
+    }
+
+    /// Takes the answer's body, or begins to pass on a stream.
+    async fn take(
+        &mut self,
+        mut connection: Connection,
+        response: Response<Incoming>,
+    ) -> Result<Taken, Error> {
+        if let Some(stated) = read_answer(&response).keep_alive {
+            connection.set_idle_limit(stated);
+        }
+        let (head, body) = response.into_parts();
+        if self.ticket.kind.is_stream() && head.status.is_success() {
+            self.source = Some((connection, body));
+            return Ok(Taken::Stream(head));
+        }
+        let left = self.left()?;
+        let whole = http_body_util::Limited::new(body, ANSWER_LIMIT).collect();
+        let whole = actix_rt::time::timeout(left, whole).await.map_err(|_| Error::Expired)?;
+        let body = whole.map_err(|_| Error::Broken)?.to_bytes();
+        self.context.pool.put(connection);
+        if head.status.is_server_error() && self.ticket.kind.is_repeatable() {
+            return Ok(self.try_elsewhere(Answer { head, body }));
+        }
+        Ok(Taken::Whole(Answer { head, body }))
+    }
+
+    /// A backend server's own failure: another one is tried, and if there is
+    /// none, the failure is passed on as it is.
+    fn try_elsewhere(&mut self, answer: Answer) -> Taken {
+        let status = answer.head.status.as_u16();
+        match self.go_on(Error::Failed { status }) {
+            Ok(()) => Taken::Again,
+            Err(_) => Taken::Whole(answer),
+        }
+    }
+
+    /// The next events of a stream; nothing once it is complete.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that ends it. The caller's connection has to be broken off.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Refusal>> {
+        if self.finished {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Ok(Some(events)) => {
+                    self.note_events();
+                    return Some(Ok(events));
+                }
+                Ok(None) => {
+                    self.shared().balancer().succeed(&self.ticket);
+                    if let Some((connection, _)) = self.source.take() {
+                        self.context.pool.put(connection);
+                    }
+                    self.finish("answered", None);
+                    let age = self.shared().now() - self.ticket.arrived;
+                    self.shared().meter.whole.record(age.as_secs_f64());
+                    return None;
+                }
+                Err(error) => {
+                    if let Err(refusal) = self.resume(error).await {
+                        self.shared().meter.cut.add(1);
+                        self.finish("cut", Some(refusal));
+                        return Some(Err(refusal));
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_events(&mut self) {
+        if !self.ticket.begun {
+            self.ticket.begun = true;
+            let age = self.shared().now() - self.ticket.arrived;
+            self.shared().meter.first.record(age.as_secs_f64());
+        }
+        if let Some(attempt) = &mut self.attempt {
+            attempt.note_first();
+        }
+    }
+
+    /// Reads until there are whole events; nothing at the end of the stream.
+    async fn read(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            let events = self.events.take()?;
+            if !events.is_empty() {
+                return Ok(Some(events));
+            }
+            let (wait, silent) = self.wait(self.left()?);
+            let Some((_, body)) = &mut self.source else { return Err(Error::Broken) };
+            let frame = actix_rt::time::timeout(wait, body.frame()).await.map_err(|_| silent)?;
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.events.push(data);
+                    }
+                }
+                Some(Err(_)) => return Err(Error::Broken),
+                None if self.events.is_empty() => return Ok(None),
+                None => return Err(Error::Broken),
+            }
+        }
+    }
+
+    /// Goes on with a broken stream at another backend server.
+    async fn resume(&mut self, error: Error) -> Result<(), Refusal> {
+        let mut error = error;
+        self.events.restart();
+        loop {
+            self.go_on(error)?;
+            match self.exchange().await {
+                Ok((connection, response)) if response.status().is_success() => {
+                    self.shared().meter.resumed.add(1);
+                    self.source = Some((connection, response.into_body()));
+                    return Ok(());
+                }
+                Ok((_, response)) => error = Error::Failed { status: response.status().as_u16() },
+                Err(failure) => error = failure,
+            }
+        }
+    }
+}
+
+/// What became of an answer's body.
+enum Taken {
+    /// The head of a stream.
+    Stream(http::response::Parts),
+    /// A whole answer.
+    Whole(Answer),
+    /// Another backend server is tried.
+    Again,
+}
+
+fn read_answer(response: &Response<Incoming>) -> header::Answer<'_> {
+    let headers = response.headers();
+    header::Answer::read(|name| headers.get(name).and_then(|value| value.to_str().ok()))
+}
--- /dev/null
+++ b/components/gateway/src/settings.rs
@@ -0,0 +1,85 @@
+//! Settings of an entry that sends straight to backend servers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::settings::{Check, Fault, Reason};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tables::Name;
+
+/// Settings, read from JSON. Times are in milliseconds.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host.
+    pub name: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Address on which callers are served.
+    pub listen: SocketAddr,
+    /// Address on which the platform asks for readiness.
+    pub ready: SocketAddr,
+    /// Address for metrics, dumps and readiness.
+    pub operations: SocketAddr,
+    /// Address on which frames of other entries are taken.
+    pub link: SocketAddr,
+    /// Addresses of hosts that may run an entry; only the IP address counts,
+    /// since all entries take frames on the same port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Limits that all entries keep together.
+    pub limits: balance::Limits,
+    /// Time between the signal to stop and the end by force.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "grace_ms")]
+    pub grace: Duration,
+}
+
+/// Bounds of the time to stop, in milliseconds.
+const GRACE_BOUNDS: std::ops::RangeInclusive<f64> = 1_000.0..=600_000.0;
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (pointer, text) in [("/name", &self.name), ("/zone", &self.zone)] {
+            if text.is_empty() {
+                faults.push(Fault::new(pointer, Reason::Empty));
+            }
+        }
+        let listeners = [
+            ("/listen", self.listen),
+            ("/ready", self.ready),
+            ("/operations", self.operations),
+            ("/link", self.link),
+        ];
+        for (index, (pointer, address)) in listeners.iter().enumerate() {
+            if let Some((other, _)) = listeners[..index].iter().find(|(_, one)| one == address) {
+                faults.push(Fault::new(*pointer, Reason::Conflict { other: (*other).into() }));
+            }
+        }
+        faults.extend(Fault::outside("/grace_ms", self.grace.as_secs_f64() * 1e3, GRACE_BOUNDS));
+        faults.extend(Fault::outside("/limits/retry_ratio", self.limits.retry_ratio, 0.0..=10.0));
+        faults
+    }
+}
+
+impl Settings {
+    /// The link of the entry.
+    pub fn link_name(&self) -> Name {
+        link_name(self.link)
+    }
+
+    /// The links of the seeds.
+    pub fn seed_links(&self) -> Vec<Name> {
+        let port = self.link.port();
+        self.seeds.iter().map(|seed| link_name(SocketAddr::new(seed.ip(), port))).collect()
+    }
+}
+
+fn link_name(address: SocketAddr) -> Name {
+    format!("tcp://{address}").into()
+}
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -135,6 +135,26 @@
         self.write(Method::DELETE, format!("/v1/hosts/{}", encode(name)), None, None).await
     }
 
+    /// Reads what lies at a path of the service, in whatever dialect.
+    ///
+    /// # Errors
+    ///
+    /// If no reply came in time. A reply that is a failure is returned.
+    pub async fn fetch(&self, path: String, timeout: Duration) -> Result<Reply, Error> {
+        self.read(path, timeout).await
+    }
+
+    /// Sends a JSON body to a path of the service, in whatever dialect.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::fetch`]; [`Error::Unknown`] if the body may have arrived.
+    pub async fn submit(&self, method: Method, path: String, body: &Value) -> Result<Reply, Error> {
+        let body = Some(body.to_string());
+        let call = Call { method, path, expect: None, body, timeout: self.timeout };
+        self.send(&call).await
+    }
+
     async fn read(&self, path: String, timeout: Duration) -> Result<Reply, Error> {
         let call = Call { method: Method::GET, path, expect: None, body: None, timeout };
         // A read may be sent again, so an unknown effect is no matter here.
--- /dev/null
+++ b/components/platform/src/lane.rs
@@ -0,0 +1,90 @@
+//! When to list and when to watch one kind of object.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::Error;
+
+/// Bound of the wait after the first failure.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+
+/// Largest bound of the wait after failures: a fraction of the two seconds in
+/// which a configuration has to be in force.
+const BACKOFF_MAX: Duration = Duration::from_millis(600);
+
+/// Failures in a row from which on the store counts as lost.
+const FAILURES_UNTIL_LOST: u32 = 2;
+
+/// The next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// List all objects.
+    List,
+    /// Wait for changes after a revision.
+    Watch(u64),
+}
+
+/// What a result means for the store's standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// As before.
+    None,
+    /// The store does not answer any more.
+    Lost,
+    /// The store answers again.
+    Regained,
+}
+
+/// The calls for one kind; one is under way at a time.
+///
+/// ```
+/// use platform::lane::{Call, Lane};
+/// let mut lane = Lane::new(1);
+/// assert_eq!(lane.call(), Call::List);
+/// lane.succeed(7);
+/// assert_eq!(lane.call(), Call::Watch(7));
+/// ```
+#[derive(Debug)]
+pub struct Lane {
+    rng: ChaCha8Rng,
+    listed: Option<u64>,
+    failures: u32,
+}
+
+impl Lane {
+    /// A lane that has listed nothing yet.
+    pub fn new(seed: u64) -> Lane {
+        Lane { rng: ChaCha8Rng::seed_from_u64(seed), listed: None, failures: 0 }
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.listed.map_or(Call::List, Call::Watch)
+    }
+
+    /// A call brought what there is up to a revision.
+    pub fn succeed(&mut self, revision: u64) -> Turn {
+        let lost = self.failures >= FAILURES_UNTIL_LOST;
+        self.failures = 0;
+        self.listed = Some(revision.max(self.listed.unwrap_or_default()));
+        if lost { Turn::Regained } else { Turn::None }
+    }
+
+    /// A call failed: how long to wait before the next one.
+    pub fn fail(&mut self, error: &Error) -> (Turn, Duration) {
+        if *error == Error::Gone {
+            self.listed = None;
+            return (Turn::None, Duration::ZERO);
+        }
+        self.failures += 1;
+        let bound = (BACKOFF_MIN * (1 << self.failures.min(8))).min(BACKOFF_MAX);
+        let mut wait = bound.mul_f64(self.rng.random_range(0.5..1.0));
+        if let Error::Busy { retry_after } = error {
+            wait = wait.max((*retry_after).min(BACKOFF_MAX));
+        }
+        let turn = if self.failures == FAILURES_UNTIL_LOST { Turn::Lost } else { Turn::None };
+        (turn, wait)
+    }
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -8,14 +8,17 @@
 mod client;
 mod error;
 mod follow;
+pub mod lane;
 mod object;
 mod reply;
 mod update;
 pub mod watch;
 
+pub use awc::http::Method;
 pub use client::Client;
 pub use error::Error;
 pub use follow::follow;
+pub use lane::Lane;
 pub use object::{Change, Changes, Expect, Hosts, Listing, Object, VALUE_LIMIT, Version};
 pub use reply::Reply;
 pub use update::Update;
--- a/components/platform/src/reply.rs
+++ b/components/platform/src/reply.rs
@@ -30,8 +30,18 @@
     /// assert_eq!(reply.read(), Ok(platform::Version { version: 4 }));
     /// ```
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        self.accept()?;
+        self.decode()
+    }
+
+    /// The body of a read that succeeded.
+    ///
+    /// # Errors
+    ///
+    /// What the status stands for, if it isn't 200.
+    pub fn accept(&self) -> Result<&Bytes, Error> {
         match self.status {
-            200 => self.decode(),
+            200 => Ok(&self.body),
             status if status >= 500 => Err(Error::Unreachable),
             _ => Err(self.refused()),
         }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,7 +1,6 @@
 //! Decisions of an entry: from a caller's request to its whole answer.
 
 pub mod baseline;
-pub mod budget;
 pub mod choice;
 pub mod experiment;
 pub mod hedge;
@@ -15,5 +14,6 @@
 pub mod subset;
 pub mod trace;
 
+pub use balance::budget;
 pub use request::Ask;
 pub use router::{Input, Options, Output, Part, Router, class};
--- a/components/tables/src/row.rs
+++ b/components/tables/src/row.rs
@@ -70,11 +70,11 @@
 
 /// A row with the version of its last change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Row {
+pub struct Row<B = Body> {
     /// The platform's revision at the last change of this row.
     pub version: u64,
     /// The content, or nothing once the row is deleted.
-    pub body: Option<Body>,
+    pub body: Option<B>,
 }
 
 /// The content of a row.
--- a/components/tables/src/table.rs
+++ b/components/tables/src/table.rs
@@ -9,13 +9,13 @@
 
 /// Rows changed since a revision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Delta {
+pub struct Delta<K = Key, B = Body> {
     /// The revision after which the rows changed.
     pub since: u64,
     /// The revision that a table which held `since` holds afterwards.
     pub revision: u64,
     /// The changed rows, deleted ones included.
-    pub rows: Vec<(Key, Row)>,
+    pub rows: Vec<(K, Row<B>)>,
 }
 
 /// All rows that a process knows, up to a revision.
@@ -34,20 +34,30 @@
 /// assert!(table.is_zone_out("accra-1"));
 /// assert_eq!(table.revision(), 8);
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Table {
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(bound(
+    serialize = "K: Serialize, B: Serialize",
+    deserialize = "K: Ord + Deserialize<'de>, B: Deserialize<'de>"
+))]
+pub struct Table<K = Key, B = Body> {
     revision: u64,
-    rows: BTreeMap<Key, Row>,
+    rows: BTreeMap<K, Row<B>>,
 }
 
-impl Table {
+impl<K, B> Default for Table<K, B> {
+    fn default() -> Table<K, B> {
+        Table { revision: 0, rows: BTreeMap::new() }
+    }
+}
+
+impl<K: Clone + Ord, B: Clone> Table<K, B> {
     /// The platform's revision up to which the table is complete.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
     /// The row of `key`, deleted or not.
-    pub fn row(&self, key: &Key) -> Option<&Row> {
+    pub fn row(&self, key: &K) -> Option<&Row<B>> {
         self.rows.get(key)
     }
 
@@ -55,7 +65,7 @@
     ///
     /// A delta that starts beyond this table's revision is refused, since the
     /// rows between are missing.
-    pub fn merge(&mut self, delta: Delta) -> bool {
+    pub fn merge(&mut self, delta: Delta<K, B>) -> bool {
         if delta.since > self.revision {
             return false;
         }
@@ -76,8 +86,8 @@
 
     /// Takes in a complete listing at `revision`: a live row that is missing
     /// there and not newer has been deleted.
-    pub fn replace(&mut self, revision: u64, rows: Vec<(Key, Row)>) -> bool {
-        let listed: std::collections::BTreeSet<Key> =
+    pub fn replace(&mut self, revision: u64, rows: Vec<(K, Row<B>)>) -> bool {
+        let listed: std::collections::BTreeSet<K> =
             rows.iter().map(|(key, _)| key.clone()).collect();
         let mut delta = Delta { since: 0, revision, rows };
         for (key, row) in &self.rows {
@@ -90,12 +100,19 @@
     }
 
     /// The rows changed after revision `since`.
-    pub fn delta(&self, since: u64) -> Delta {
-        let newer = |(key, row): (&Key, &Row)| (key.clone(), row.clone());
+    pub fn delta(&self, since: u64) -> Delta<K, B> {
+        let newer = |(key, row): (&K, &Row<B>)| (key.clone(), row.clone());
         let rows = self.rows.iter().filter(|(_, row)| row.version > since).map(newer).collect();
         Delta { since, revision: self.revision, rows }
     }
 
+    /// The rows that are not deleted.
+    pub fn live(&self) -> impl Iterator<Item = (&K, &B)> {
+        self.rows.iter().filter_map(|(key, row)| Some((key, row.body.as_ref()?)))
+    }
+}
+
+impl Table {
     /// Whether operators took the availability zone out.
     pub fn is_zone_out(&self, zone: &str) -> bool {
         matches!(self.body(Kind::Zone, zone), Some(Body::Zone(zone)) if zone.out)
@@ -144,10 +161,6 @@
         self.live().map(|(key, body)| (key.clone(), body.clone())).collect()
     }
 
-    fn live(&self) -> impl Iterator<Item = (&Key, &Body)> {
-        self.rows.iter().filter_map(|(key, row)| Some((key, row.body.as_ref()?)))
-    }
-
     fn body(&self, kind: Kind, name: &str) -> Option<&Body> {
         self.rows.get(&Key { kind, name: name.into() })?.body.as_ref()
     }
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -5,10 +5,12 @@
 //! on the operations address.
 
 pub mod dump;
+mod json_log;
 mod log_setup;
 mod metrics;
 mod operations;
 
+pub use json_log::{Bounded, init_json_log};
 pub use log_setup::{Level, LogError, init_log};
 pub use metrics::{Counter, Gauge, Histogram, Metrics, MetricsError};
 pub use operations::{Readiness, operations};
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -63,6 +63,8 @@
     Hosts(u64, Vec<tables::Host>),
     /// Entry to agent, entry to entry: nothing but the frame's own fields.
     Heartbeat,
+    /// Entry to entry, where entries send straight to backend servers.
+    Entry(balance::gossip::Message),
     /// Agent to agent: the business of a rank group.
     Group(group::Message),
 }
