Change the expert map by orders that late arrivals can't harm

Agents beside the ranks read reports and choices and follow the first of them that answers; the leader plans, prepares, holds, arms and releases.

--- /dev/null
+++ b/bins/wisteria-rank/src/cmd/flags.rs
@@ -0,0 +1,16 @@
+//! The flags of the command line.
+#![allow(missing_docs)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// The daemon beside a rank of a group.
+    ///
+    /// Exit codes: 0 stopped as told, 1 could not run, 2 bad command line or settings.
+    cmd rank {
+        /// Settings in JSON.
+        required --settings file: PathBuf
+        /// Check the settings and exit.
+        optional --check
+    }
+}
--- /dev/null
+++ b/bins/wisteria-rank/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! The command line and what it starts.
+
+pub mod flags;
+pub mod serve;
--- /dev/null
+++ b/bins/wisteria-rank/src/cmd/serve.rs
@@ -0,0 +1,12 @@
+//! Serves until told to stop.
+
+use std::process::ExitCode;
+
+use crate::cmd::flags::Rank;
+
+/// Runs the daemon, or only checks its settings.
+pub fn run(flags: Rank) -> ExitCode {
+    let flags = daemon::Flags { settings: flags.settings, check: flags.check };
+    let run = |settings| rank::run(settings, daemon::stopped());
+    daemon::start_with(flags, telemetry::init_json_log, run)
+}
--- a/components/balance/src/config.rs
+++ b/components/balance/src/config.rs
@@ -106,6 +106,21 @@
     pub usual_output: u32,
     /// Time after which a broken rank group opens again once whole.
     pub form: Duration,
+    /// How experts are spread, if the engines are ranks of groups.
+    pub experts: Option<Experts>,
+}
+
+/// How experts are spread over the ranks of a group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Experts {
+    /// Sets of layers.
+    pub sets: u32,
+    /// Experts of a set.
+    pub count: u32,
+    /// Most experts of a set that a rank holds.
+    pub places: u32,
+    /// Most experts of a set that a change brings to a rank.
+    pub fresh: u32,
 }
 
 /// A client account.
--- a/components/balance/src/content.rs
+++ b/components/balance/src/content.rs
@@ -19,10 +19,12 @@
     Zone,
     /// Entries of this system, written by themselves.
     Peer,
+    /// Agents beside ranks, written by themselves.
+    Agent,
 }
 
 impl Kind {
-    /// All kinds.
+    /// The kinds that entries follow.
     pub const ALL: [Kind; 4] = [Kind::Config, Kind::Server, Kind::Zone, Kind::Peer];
 }
 
@@ -37,6 +39,8 @@
     ZoneOut,
     /// An entry of this system.
     Peer(Peer),
+    /// An agent beside a rank.
+    Agent(Agent),
     /// Something that can't be read. It stands for nothing.
     Unreadable,
 }
@@ -85,3 +89,14 @@
     /// Availability zone.
     pub zone: Name,
 }
+
+/// An agent beside a rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Agent {
+    /// Address at which it takes frames, `tcp://IP:PORT`.
+    pub link: Name,
+    /// Address of its rank.
+    pub address: SocketAddr,
+    /// Rank group.
+    pub group: Name,
+}
--- a/components/gateway/src/backend.rs
+++ b/components/connection/src/lib.rs
@@ -1,4 +1,8 @@
-//! Connections to backend servers: one request at a time on each.
+//! HTTP connections to backend servers: one request at a time on each.
+//!
+//! Unlike a general client, this one never repeats a request by itself, tells
+//! what was never sent from what may have arrived, and closes the socket of a
+//! request that is dropped.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -7,13 +11,25 @@
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::Error;
+/// How a connection fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No connection came about; nothing was sent.
+    #[error("no connection")]
+    Unconnected,
+    /// The connection ended before the answer was whole.
+    #[error("the connection broke off")]
+    Broken,
+    /// Nothing came in time.
+    #[error("no answer in time")]
+    Silent,
+}
 
 /// Time for a new connection. A lost opening packet is sent again only after a
 /// second, so another backend server is quicker.
@@ -33,6 +49,9 @@
 /// Part of the stated idle time that is used.
 const IDLE_SHARE: f64 = 0.6;
 
+/// Largest body of a whole answer, in bytes.
+const CALL_LIMIT: usize = 4 << 20;
+
 /// A connection that serves one request at a time.
 pub struct Connection {
     address: SocketAddr,
@@ -144,3 +163,56 @@
         self.idle_limit = stated.mul_f64(IDLE_SHARE);
     }
 }
+
+/// A small whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Sends one request over a pool's connection and reads the whole answer.
+///
+/// # Errors
+///
+/// If the answer isn't whole in time. [`Error::Unconnected`] if nothing was
+/// sent.
+pub async fn call(
+    pool: &Pool,
+    address: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<Answer, Error> {
+    let exchange = exchange(pool, address, method, path, body);
+    actix_rt::time::timeout(timeout, exchange).await.unwrap_or(Err(Error::Silent))
+}
+
+async fn exchange(
+    pool: &Pool,
+    address: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Answer, Error> {
+    let mut connection = match pool.take(address, Duration::MAX) {
+        Some(connection) => connection,
+        None => connect(address).await?,
+    };
+    let request = http::Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|_| Error::Unconnected)?;
+    let response = connection.send(request).await?;
+    let status = response.status().as_u16();
+    let body = http_body_util::Limited::new(response.into_body(), CALL_LIMIT).collect();
+    let body = body.await.map_err(|_| Error::Broken)?.to_bytes();
+    pool.put(connection);
+    Ok(Answer { status, body })
+}
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -70,3 +70,13 @@
         }
     }
 }
+
+impl From<connection::Error> for Error {
+    fn from(error: connection::Error) -> Error {
+        match error {
+            connection::Error::Unconnected => Error::Unconnected,
+            connection::Error::Broken => Error::Broken,
+            connection::Error::Silent => Error::Silent,
+        }
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,6 @@
 //! All decisions are made by [`balance::Balancer`]; this crate reads requests,
 //! speaks to backend servers, follows the store and tells the other entries.
 
-pub mod backend;
 mod error;
 pub mod events;
 mod front;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,12 +8,12 @@
 use balance::config::Kind;
 use balance::{Next, Refusal, Target, Ticket};
 use bytes::Bytes;
+use connection::{Connection, Pool};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 
 use crate::Error;
-use crate::backend::{self, Connection, Pool};
 use crate::events::Splitter;
 use crate::request::Request;
 use crate::shared::{Open, Shared};
@@ -246,7 +246,7 @@
             }
         }
         self.shared().meter.connections.add(1);
-        let connection = backend::connect(address).await?;
+        let connection = connection::connect(address).await?;
         self.send(connection).await
     }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -59,12 +59,13 @@
     serve(&settings, &shared, metrics)?;
     actix_rt::spawn(talk);
     let urls = vec![format!("http://{}", settings.store).into()];
-    let client = platform::Client::new(urls, store::ANSWER_TIMEOUT);
+    let client = platform::Client::new(urls, registry::ANSWER_TIMEOUT);
     for (index, kind) in Kind::ALL.into_iter().enumerate() {
         let seed = incarnation.wrapping_add(index as u64);
         actix_rt::spawn(store::follow(shared.clone(), client.clone(), kind, seed));
     }
-    actix_rt::spawn(store::register(client, settings.name.clone(), self_description));
+    let description = adapter::store::encode_peer(&self_description);
+    actix_rt::spawn(registry::register(client, Kind::Peer, settings.name.clone(), description));
     actix_rt::spawn(reload::follow(shared.clone(), path, settings.clone()));
     log::info!(target: "entry", name:% = settings.name, zone:% = settings.zone,
         listen:% = settings.listen, incarnation = incarnation; "started");
@@ -80,7 +81,7 @@
     let context_shared = shared.clone();
     let configure = move |config: &mut web::ServiceConfig| {
         // Made on the thread that serves: connections stay on it.
-        let pool = crate::backend::Pool::default();
+        let pool = connection::Pool::default();
         let context = Rc::new(Context { shared: context_shared.clone(), pool });
         let swept = context.clone();
         actix_rt::spawn(async move {
--- a/components/group/src/lib.rs
+++ b/components/group/src/lib.rs
@@ -11,6 +11,7 @@
 mod member;
 mod message;
 pub mod placement;
+pub mod switch;
 
 pub use agent::{Agent, Input, Lease, Object, Output, Settings};
 pub use leader::Leader;
--- /dev/null
+++ b/components/group/src/switch/leader.rs
@@ -0,0 +1,374 @@
+//! Which orders follow from what all ranks report.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::placement::even::{Assignment, Bounds};
+use crate::switch::{Armed, Order, Report, Status};
+
+/// Age at which a rank's status no longer counts.
+const STATUS_LIFETIME: Duration = Duration::from_millis(900);
+
+/// Time before an order that shows no effect is sent again.
+const REPEAT: Duration = Duration::from_millis(150);
+
+/// The same for copying a map, which takes longer.
+const REPEAT_PREPARE: Duration = Duration::from_millis(1200);
+
+/// Time after which a map that is not ready everywhere is given up. No rank is
+/// armed or held before that, so giving up is harmless.
+const PREPARE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Silence of an agent under a hold after which its rank is ordered directly.
+const DIRECT_AFTER: Duration = Duration::from_millis(250);
+
+/// Bits of a version that tell apart the maps of different leaders.
+const TAG_BITS: u32 = 16;
+
+/// How eagerly maps are changed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Time over which demand loses half its weight.
+    pub half_life: Duration,
+    /// Least time between the ends of two changes.
+    pub pause: Duration,
+    /// Least fall of the skew for which a change is made.
+    pub least_gain: f64,
+    /// Passes between the last report and the pass of a switch.
+    pub lead: u64,
+    /// Tokens without which nothing is planned.
+    pub least_tokens: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            half_life: Duration::from_millis(500),
+            pause: Duration::from_millis(200),
+            least_gain: 0.08,
+            lead: 2,
+            least_tokens: 2000.0,
+        }
+    }
+}
+
+/// The model that the group serves, as far as maps are concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Sets of layers.
+    pub sets: usize,
+    /// Experts of a set.
+    pub experts: usize,
+    /// What a change may do.
+    pub bounds: Bounds,
+}
+
+/// A map on its way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Its version.
+    pub version: u64,
+    /// The map.
+    pub map: Assignment,
+    /// Skew before and after, for the demand at the time.
+    pub skew: (f64, f64),
+    begun: Duration,
+}
+
+/// What a leader wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Have the agent beside a rank give an order.
+    Order(u32, Order),
+    /// Give an order to a rank whose agent is silent.
+    Direct(SocketAddr, Order),
+    /// A new map was planned.
+    Planned(Plan),
+    /// A map is in use on all ranks.
+    Done(u64),
+    /// A map was given up before any rank was armed.
+    Dropped(u64),
+}
+
+struct Rank {
+    status: Status,
+    heard: Duration,
+    sent: Option<(Order, Duration)>,
+}
+
+/// A leader of one rank group.
+pub struct Leader {
+    tuning: Tuning,
+    model: Model,
+    tag: u64,
+    own: u32,
+    epoch: u64,
+    ranks: BTreeMap<u32, Rank>,
+    demand: Vec<Vec<f64>>,
+    decayed: Duration,
+    plan: Option<Plan>,
+    last_end: Duration,
+    highest: u64,
+    last_hold: u64,
+}
+
+impl Leader {
+    /// A leader beside rank `own`. `tag` differs from that of other leaders.
+    pub fn new(tuning: Tuning, model: Model, own: u32, tag: u64) -> Leader {
+        Leader {
+            tuning,
+            model,
+            tag: tag % (1 << TAG_BITS),
+            own,
+            epoch: 0,
+            ranks: BTreeMap::new(),
+            demand: vec![vec![0.0; model.experts]; model.sets],
+            decayed: Duration::ZERO,
+            plan: None,
+            last_end: Duration::ZERO,
+            highest: 0,
+            last_hold: 0,
+        }
+    }
+
+    /// Takes in the status of a rank.
+    pub fn hear(&mut self, now: Duration, status: Status) {
+        let report = &status.report;
+        if report.epoch < self.epoch {
+            return;
+        }
+        if report.epoch > self.epoch {
+            self.begin_epoch(report.epoch);
+        }
+        self.note_versions(&status.report);
+        self.decay(now);
+        for (known, more) in self.demand.iter_mut().zip(status.demand.iter().flatten()) {
+            for (known, more) in known.iter_mut().zip(more) {
+                *known += f64::from(*more);
+            }
+        }
+        let rank = status.report.rank;
+        let experts = status.experts.is_none() && status.report.map == self.map_of(rank);
+        let mut status = status;
+        if experts {
+            status.experts = self.ranks.get(&rank).and_then(|known| known.status.experts.clone());
+        }
+        let sent = self.ranks.remove(&rank).and_then(|known| known.sent);
+        self.ranks.insert(rank, Rank { status, heard: now, sent });
+    }
+
+    fn map_of(&self, rank: u32) -> u64 {
+        self.ranks.get(&rank).map_or(0, |known| known.status.report.map)
+    }
+
+    fn note_versions(&mut self, report: &Report) {
+        let armed = report.armed.map_or(0, |armed| armed.version);
+        self.highest = self.highest.max(report.map).max(report.prepared).max(armed);
+        self.last_hold = self.last_hold.max(report.held.unwrap_or_default());
+    }
+
+    /// The group formed anew: map 0, nothing prepared, armed or held.
+    fn begin_epoch(&mut self, epoch: u64) {
+        self.epoch = epoch;
+        self.ranks.clear();
+        self.plan = None;
+        self.last_hold = 0;
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.decayed).as_secs_f64();
+        self.decayed = self.decayed.max(now);
+        let factor = 0.5_f64.powf(age / self.tuning.half_life.as_secs_f64());
+        self.demand.iter_mut().flatten().for_each(|tokens| *tokens *= factor);
+    }
+
+    /// Forgets the plan, since somebody else leads.
+    pub fn step_down(&mut self) {
+        self.plan = None;
+        self.ranks.clear();
+    }
+
+    /// The epoch of the group.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Ranks of which nothing was heard for a while, or ever.
+    pub fn silent(&self, now: Duration) -> Vec<u32> {
+        let size = self.ranks.values().map(|rank| rank.status.report.size).max().unwrap_or(0);
+        let quiet = |rank: &u32| {
+            self.ranks.get(rank).is_none_or(|known| now > known.heard + STATUS_LIFETIME)
+        };
+        (0..size).filter(quiet).collect()
+    }
+
+    /// Whether a change is under way.
+    pub fn is_busy(&self) -> bool {
+        self.plan.is_some()
+    }
+
+    /// What to do now.
+    pub fn step(&mut self, now: Duration) -> Vec<Action> {
+        let Some(size) = self.ranks.values().map(|rank| rank.status.report.size).max() else {
+            return Vec::new();
+        };
+        if self.ranks.len() < size as usize || !self.ranks.values().all(|r| r.status.report.open) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        let silent = self.ranks.values().any(|rank| now > rank.heard + STATUS_LIFETIME);
+        let held = self.held();
+        if !held.is_empty() {
+            self.finish(now, &held, &mut actions);
+        } else if !silent && self.ranks.values().all(|rank| rank.status.report.armed.is_none()) {
+            self.advance(now, &mut actions);
+        }
+        actions
+    }
+
+    /// The ranks that hold the group, with the passes.
+    fn held(&self) -> Vec<(u32, u64)> {
+        let held = |(rank, known): (&u32, &Rank)| Some((*rank, known.status.report.held?));
+        self.ranks.iter().filter_map(held).collect()
+    }
+
+    /// The one map that all ranks have ready and none uses yet.
+    fn common(&self) -> Option<u64> {
+        let mut reports = self.ranks.values().map(|rank| &rank.status.report);
+        let version = reports.next()?.prepared;
+        let fits = |rank: &Rank| {
+            let report = &rank.status.report;
+            report.prepared == version && report.map < version
+        };
+        (version > 0 && self.ranks.values().all(fits)).then_some(version)
+    }
+
+    /// A pass is held: arm all ranks for it, then release it. Where the ranks
+    /// have no map in common, no rank was ever armed for the pass.
+    fn finish(&mut self, now: Duration, held: &[(u32, u64)], actions: &mut Vec<Action>) {
+        let armed = self.ranks.values().find_map(|rank| rank.status.report.armed);
+        let last = held.iter().map(|(_, step)| *step).max().unwrap_or_default();
+        let target = armed.map_or(last, |armed| armed.step);
+        if let Some(version) = armed.map(|armed| armed.version).or_else(|| self.common()) {
+            let goal = Armed { version, step: target };
+            let lacks = |rank: &&Rank| rank.status.report.armed != Some(goal);
+            let missing: Vec<u32> =
+                self.ranks.values().filter(lacks).map(|rank| rank.status.report.rank).collect();
+            for rank in &missing {
+                self.order(now, *rank, Order::Arm { version, step: target }, actions);
+            }
+            if !missing.is_empty() {
+                return;
+            }
+        }
+        for (rank, step) in held {
+            self.order(now, *rank, Order::Release { step: *step }, actions);
+        }
+    }
+
+    /// Nothing is held or armed: goes on with the plan, or makes one.
+    fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(plan) = self.plan.clone() else {
+            self.make_plan(now, actions);
+            return;
+        };
+        let reports: Vec<Report> =
+            self.ranks.values().map(|rank| rank.status.report.clone()).collect();
+        if reports.iter().all(|report| report.map == plan.version) {
+            self.plan = None;
+            self.last_end = now;
+            actions.push(Action::Done(plan.version));
+            return;
+        }
+        if reports.iter().any(|report| report.map == plan.version) {
+            // The switch is under way; the other reports are older.
+            return;
+        }
+        if reports.iter().all(|report| report.prepared == plan.version) {
+            let step = reports.iter().map(|report| report.step).max().unwrap_or_default();
+            let step = (step + self.tuning.lead).max(self.last_hold + 1);
+            let holder = if self.ranks.contains_key(&self.own) { self.own } else { 0 };
+            self.order_hold(now, holder, step, actions);
+            return;
+        }
+        let overtaken = reports.iter().any(|report| report.prepared > plan.version);
+        if overtaken || now > plan.begun + PREPARE_LIMIT {
+            self.plan = None;
+            self.last_end = now;
+            actions.push(Action::Dropped(plan.version));
+            return;
+        }
+        for report in reports.iter().filter(|report| report.prepared < plan.version) {
+            let order = Order::Prepare { version: plan.version, map: plan.map.clone() };
+            self.order(now, report.rank, order, actions);
+        }
+    }
+
+    /// Holds a pass. A hold that came too late is placed anew further on.
+    fn order_hold(&mut self, now: Duration, holder: u32, step: u64, actions: &mut Vec<Action>) {
+        let Some(rank) = self.ranks.get(&holder) else { return };
+        if let Some((Order::Hold { step: held }, at)) = &rank.sent
+            && rank.status.report.step < *held
+            && now < *at + REPEAT
+        {
+            return;
+        }
+        self.last_hold = step;
+        self.order(now, holder, Order::Hold { step }, actions);
+    }
+
+    fn make_plan(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.decay(now);
+        let tokens: f64 = self.demand.iter().flatten().sum::<f64>() / self.model.sets.max(1) as f64;
+        if now < self.last_end + self.tuning.pause || tokens < self.tuning.least_tokens {
+            return;
+        }
+        let Some(current) = self.current_map() else { return };
+        let map = current.improved(&self.demand, self.model.bounds);
+        let skew = (current.skew(&self.demand), map.skew(&self.demand));
+        if skew.0 - skew.1 < self.tuning.least_gain {
+            return;
+        }
+        let version = (((self.highest >> TAG_BITS) + 1) << TAG_BITS) | self.tag;
+        let plan = Plan { version, map, skew, begun: now };
+        actions.push(Action::Planned(plan.clone()));
+        self.plan = Some(plan);
+        self.advance(now, actions);
+    }
+
+    /// The map in use, if it is the same on all ranks and they all told what
+    /// they hold of it.
+    fn current_map(&self) -> Option<Assignment> {
+        let mut versions = self.ranks.values().map(|rank| rank.status.report.map);
+        let version = versions.next()?;
+        if versions.any(|other| other != version) {
+            return None;
+        }
+        let held: Option<Vec<&Vec<Vec<u16>>>> =
+            self.ranks.values().map(|rank| rank.status.experts.as_ref()).collect();
+        let held = held?;
+        let set = |set: usize| -> Option<Vec<Vec<u16>>> {
+            held.iter().map(|sets| sets.get(set).cloned()).collect()
+        };
+        let sets: Option<Vec<_>> = (0..self.model.sets).map(set).collect();
+        Some(Assignment { sets: sets? })
+    }
+
+    /// Gives an order unless it was given a moment ago or shows its effect.
+    fn order(&mut self, now: Duration, rank: u32, order: Order, actions: &mut Vec<Action>) {
+        let Some(known) = self.ranks.get_mut(&rank) else { return };
+        let wait = if matches!(order, Order::Prepare { .. }) { REPEAT_PREPARE } else { REPEAT };
+        let repeated =
+            known.sent.as_ref().is_some_and(|(sent, at)| *sent == order && now < *at + wait);
+        if repeated || order.is_done(&known.status.report) {
+            return;
+        }
+        known.sent = Some((order.clone(), now));
+        let under_hold = matches!(order, Order::Arm { .. } | Order::Release { .. });
+        if under_hold && now > known.heard + DIRECT_AFTER {
+            actions.push(Action::Direct(known.status.address, order.clone()));
+        }
+        actions.push(Action::Order(rank, order));
+    }
+}
--- /dev/null
+++ b/components/group/src/switch/message.rs
@@ -0,0 +1,129 @@
+//! What ranks report and agents tell each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::placement::even::Assignment;
+
+/// A rank as it reports itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the group.
+    pub group: String,
+    /// Rises each time the group forms.
+    pub epoch: u64,
+    /// The rank, from 0.
+    pub rank: u32,
+    /// Number of ranks.
+    pub size: u32,
+    /// Whether the group runs.
+    pub open: bool,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// Version of the map in use.
+    pub map: u64,
+    /// Version of the map that is copied and ready; 0 for none.
+    pub prepared: u64,
+    /// The switch that the rank will make.
+    pub armed: Option<Armed>,
+    /// The pass at which the rank holds the group.
+    pub held: Option<u64>,
+    /// Number of orders that the rank carried out.
+    pub sequence: u64,
+}
+
+/// A switch to a map at a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Armed {
+    /// Version of the map.
+    pub version: u64,
+    /// The pass.
+    pub step: u64,
+}
+
+/// An order to a rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Copy what a map needs.
+    Prepare {
+        /// Version of the map.
+        version: u64,
+        /// The map.
+        map: Assignment,
+    },
+    /// Don't begin a pass.
+    Hold {
+        /// The pass.
+        step: u64,
+    },
+    /// Switch to a map as a pass begins.
+    Arm {
+        /// Version of the map.
+        version: u64,
+        /// The pass.
+        step: u64,
+    },
+    /// Let a held pass begin.
+    Release {
+        /// The pass.
+        step: u64,
+    },
+}
+
+impl Order {
+    /// Whether a report shows that nothing is left to do.
+    ///
+    /// ```
+    /// use group::switch::{Order, Report};
+    /// let report = Report { held: Some(7), ..Report::default() };
+    /// assert!(Order::Hold { step: 7 }.is_done(&report));
+    /// assert!(!Order::Release { step: 7 }.is_done(&report));
+    /// ```
+    pub fn is_done(&self, report: &Report) -> bool {
+        match self {
+            Order::Prepare { version, .. } => report.prepared >= *version,
+            Order::Hold { step } => report.held == Some(*step) || report.step >= *step,
+            Order::Arm { version, step } => {
+                report.armed == Some(Armed { version: *version, step: *step })
+                    || report.map == *version
+                    || report.step >= *step
+            }
+            Order::Release { step } => report.held != Some(*step),
+        }
+    }
+}
+
+/// An agent's account of its rank.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The rank's newest report.
+    pub report: Report,
+    /// Address of the rank.
+    pub address: SocketAddr,
+    /// Experts of the map in use that the rank holds, by set; nothing if they
+    /// could not be read.
+    pub experts: Option<Vec<Vec<u16>>>,
+    /// Tokens by set and expert since the last account that held any.
+    pub demand: Option<Vec<Vec<u32>>>,
+}
+
+/// A leader's order for the agent beside a rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Command {
+    /// The epoch that the order is meant for.
+    pub epoch: u64,
+    /// The order.
+    pub order: Order,
+}
+
+/// A message between agents.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// From an agent to the one that it takes for the leader.
+    Status(Box<Status>),
+    /// From an agent that would lead to one that sent a status.
+    Leading,
+    /// From the leader to an agent.
+    Command(Box<Command>),
+}
--- /dev/null
+++ b/components/rank/src/agent.rs
@@ -0,0 +1,429 @@
+//! The agent: polls its rank, follows or leads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use balance::content::{Agent as Described, Content};
+use connection::Pool;
+use group::switch::{Action, Command, Leader, Message, Model, Order, Report, Status, Tuning};
+use tables::Name;
+use tokio::sync::mpsc;
+use wire::{Frame, Link};
+
+use crate::follow::Follow;
+use crate::own;
+use crate::settings::Settings;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two reports of the rank while nothing changes.
+const REPORT_IDLE: Duration = Duration::from_millis(100);
+
+/// Time after an order in which reports are read at each tick.
+const BUSY: Duration = Duration::from_millis(1000);
+
+/// Time between two readings of how experts were chosen.
+const CHOICES: Duration = Duration::from_millis(200);
+
+/// Time between two accounts to the leader while nothing changes.
+const STATUS: Duration = Duration::from_millis(200);
+
+/// Time between two questions to a rank whose agent is silent.
+const REMOTE: Duration = Duration::from_millis(500);
+
+/// An agent beside a rank.
+pub struct Agent {
+    settings: Settings,
+    started: Instant,
+    pool: Rc<Pool>,
+    link: Link,
+    follow: Follow,
+    described: BTreeMap<Name, Described>,
+    model: Option<Model>,
+    leader: Option<Leader>,
+    links: BTreeMap<u32, Name>,
+    heard: BTreeMap<Name, Duration>,
+    report: Option<Report>,
+    experts: Option<(u64, u64, Vec<Vec<u16>>)>,
+    counts: Option<Vec<Vec<u64>>>,
+    demand: Option<Vec<Vec<u32>>>,
+    busy_until: Duration,
+    due: Due,
+    remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
+}
+
+/// When things were last done.
+#[derive(Debug, Default)]
+struct Due {
+    report: Option<Duration>,
+    choices: Option<Duration>,
+    status: Option<Duration>,
+    remote: Option<Duration>,
+}
+
+/// What others tell an agent.
+pub enum Event {
+    /// A frame of another agent.
+    Frame(Frame),
+    /// The agents that the store names, and the model that the group serves.
+    Known(Vec<(Name, Content)>, Option<Model>),
+    /// The report of a rank whose agent is silent.
+    Remote(SocketAddr, Report),
+}
+
+impl Agent {
+    /// An agent that knows nothing yet. Remote reports go to `remote`.
+    pub fn new(
+        settings: Settings,
+        link: Link,
+        remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
+    ) -> Agent {
+        Agent {
+            follow: Follow::new(settings.name.clone()),
+            settings,
+            started: Instant::now(),
+            pool: Rc::default(),
+            link,
+            described: BTreeMap::new(),
+            model: None,
+            leader: None,
+            links: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            report: None,
+            experts: None,
+            counts: None,
+            demand: None,
+            busy_until: Duration::ZERO,
+            due: Due::default(),
+            remote,
+        }
+    }
+
+    /// Works until the events end.
+    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        let mut tick = actix_rt::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = tick.tick() => self.tick().await,
+                event = events.recv() => match event {
+                    Some(event) => self.take(event).await,
+                    None => return,
+                },
+            }
+            self.lead().await;
+            self.link.flush(0);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    async fn tick(&mut self) {
+        let now = self.now();
+        let busy = now < self.busy_until;
+        if busy || is_due(&mut self.due.report, now, REPORT_IDLE) {
+            self.refresh().await;
+        }
+        if is_due(&mut self.due.choices, now, CHOICES) {
+            self.read_choices().await;
+        }
+        for earlier in self.follow.tick(now) {
+            if let Some(status) = self.status(None) {
+                self.send(&earlier, Message::Status(Box::new(status)));
+            }
+        }
+        if is_due(&mut self.due.status, now, STATUS) {
+            self.tell();
+        }
+        if self.follow.leads() && is_due(&mut self.due.remote, now, REMOTE) {
+            self.ask_silent(now);
+        }
+    }
+
+    /// Reads the rank's report, and tells the leader if it changed.
+    async fn refresh(&mut self) {
+        match own::report(&self.pool, self.settings.rank).await {
+            Ok(report) => self.note(report).await,
+            Err(error) => {
+                if self.report.take().is_some() {
+                    log::warn!(target: "rank", error:% = error; "rank lost");
+                }
+            }
+        }
+    }
+
+    async fn note(&mut self, report: Report) {
+        let before = self.report.replace(report.clone());
+        let known = self.experts.as_ref().map(|(epoch, version, _)| (*epoch, *version));
+        if known != Some((report.epoch, report.map)) {
+            self.read_holdings(&report).await;
+        }
+        let moved = before.is_none_or(|before| Report { step: report.step, ..before } != report);
+        if moved {
+            log::info!(target: "rank", epoch = report.epoch, open = report.open,
+                step = report.step, map = report.map, prepared = report.prepared,
+                armed:? = report.armed, held:? = report.held; "rank changed");
+            self.tell();
+        }
+    }
+
+    async fn read_holdings(&mut self, report: &Report) {
+        match own::holdings(&self.pool, self.settings.rank).await {
+            Ok((version, experts)) if version == report.map => {
+                self.experts = Some((report.epoch, version, experts));
+            }
+            // The map changed between the two answers; the next report tells.
+            Ok(_) => self.experts = None,
+            Err(error) => {
+                log::info!(target: "rank", error:% = error; "holdings not read");
+                self.experts = None;
+            }
+        }
+    }
+
+    async fn read_choices(&mut self) {
+        let Some(model) = self.model else { return };
+        let counts = match own::choices(&self.pool, self.settings.rank, model.sets).await {
+            Ok(counts) => counts,
+            Err(error) => {
+                log::info!(target: "rank", error:% = error; "choices not read");
+                return;
+            }
+        };
+        let before = self.counts.replace(counts.clone());
+        let since = |set: usize, expert: usize, count: u64| {
+            let before = before.as_ref().and_then(|sets| sets.get(set)?.get(expert).copied());
+            // A restarted rank counts from zero.
+            count.checked_sub(before.unwrap_or(count)).unwrap_or(count) as u32
+        };
+        let demand = self.demand.get_or_insert_with(Vec::new);
+        demand.resize(counts.len(), Vec::new());
+        for (set, counts) in counts.iter().enumerate() {
+            demand[set].resize(counts.len(), 0);
+            for (expert, count) in counts.iter().enumerate() {
+                demand[set][expert] += since(set, expert, *count);
+            }
+        }
+    }
+
+    fn status(&self, demand: Option<Vec<Vec<u32>>>) -> Option<Status> {
+        let report = self.report.clone()?;
+        let experts = self
+            .experts
+            .as_ref()
+            .filter(|(epoch, version, _)| (*epoch, *version) == (report.epoch, report.map));
+        let experts = experts.map(|(_, _, experts)| experts.clone());
+        Some(Status { report, address: self.settings.rank, experts, demand })
+    }
+
+    /// Tells the leader how the rank is, or takes it in if this agent leads.
+    fn tell(&mut self) {
+        let demand = self.demand.take();
+        let Some(status) = self.status(demand) else { return };
+        self.due.status = Some(self.now());
+        if self.follow.leads() {
+            self.hear_status(status);
+        } else if let Some(leader) = self.follow.leader().cloned() {
+            self.send(&leader, Message::Status(Box::new(status)));
+        }
+    }
+
+    fn hear_status(&mut self, status: Status) {
+        let now = self.now();
+        if let Some(leader) = &mut self.leader {
+            leader.hear(now, status);
+        }
+    }
+
+    fn send(&mut self, agent: &str, message: Message) {
+        let Some(described) = self.described.get(agent) else { return };
+        let link = described.link.clone();
+        self.push(&link, message);
+    }
+
+    fn push(&mut self, link: &Name, message: Message) {
+        if let Err(error) = self.link.push(link, wire::Message::Switch(message)) {
+            log::warn!(target: "link", link:% = link, error:% = error; "link failed");
+        }
+    }
+
+    async fn take(&mut self, event: Event) {
+        match event {
+            Event::Frame(frame) => {
+                for message in frame.messages {
+                    if let wire::Message::Switch(message) = message {
+                        self.take_message(&frame.sender, message).await;
+                    }
+                }
+            }
+            Event::Known(agents, model) => self.take_known(agents, model),
+            Event::Remote(address, report) => {
+                let status = Status { report, address, experts: None, demand: None };
+                self.hear_status(status);
+            }
+        }
+    }
+
+    async fn take_message(&mut self, sender: &wire::Sender, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Status(status) => {
+                if self.follow.leads() {
+                    self.links.insert(status.report.rank, sender.link.clone());
+                    self.heard.insert(sender.name.clone(), now);
+                    self.hear_status(*status);
+                    self.push(&sender.link.clone(), Message::Leading);
+                }
+            }
+            Message::Leading => {
+                let led = self.follow.leads();
+                self.follow.hear(now, &sender.name);
+                if led && !self.follow.leads() {
+                    log::info!(target: "leader", leader:% = sender.name; "stepping down");
+                    if let Some(leader) = &mut self.leader {
+                        leader.step_down();
+                    }
+                }
+            }
+            Message::Command(command) => {
+                if self.follow.leader() == Some(&sender.name) {
+                    self.carry_out(command.epoch, &command.order).await;
+                } else {
+                    log::info!(target: "order", from:% = sender.name,
+                        order:% = own::name(&command.order); "order of another leader ignored");
+                }
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, epoch: u64, order: &Order) {
+        self.busy_until = self.now() + BUSY;
+        match own::give(&self.pool, self.settings.rank, epoch, order).await {
+            Ok(report) => {
+                self.note(report).await;
+                self.tell();
+            }
+            Err(error) => {
+                log::info!(target: "order", order:% = own::name(order), error:% = error;
+                    "no report after an order");
+            }
+        }
+    }
+
+    fn take_known(&mut self, agents: Vec<(Name, Content)>, model: Option<Model>) {
+        let Some(group) = self.report.as_ref().map(|report| Name::from(report.group.as_str()))
+        else {
+            return;
+        };
+        let mut described = BTreeMap::new();
+        for (name, content) in agents {
+            if let Content::Agent(agent) = content
+                && agent.group == group
+            {
+                described.insert(name, agent);
+            }
+        }
+        self.described = described;
+        let now = self.now();
+        let names = self.described.keys().cloned().collect();
+        let led = self.follow.leads();
+        self.follow.set_agents(now, names);
+        if self.model != model {
+            self.model = model;
+            self.leader = None;
+        }
+        if led != self.follow.leads() {
+            log::info!(target: "leader", leads = self.follow.leads(); "leadership changed");
+        }
+    }
+
+    /// Carries out what follows from the reports, if this agent leads.
+    async fn lead(&mut self) {
+        if !self.follow.leads() {
+            return;
+        }
+        let (Some(model), Some(report)) = (self.model, &self.report) else { return };
+        if self.leader.is_none() {
+            let tag = xxhash_rust::xxh3::xxh3_64(
+                format!("{}/{}", self.settings.name, daemon::incarnation()).as_bytes(),
+            );
+            self.leader = Some(Leader::new(Tuning::default(), model, report.rank, tag));
+        }
+        let now = self.now();
+        let Some(leader) = &mut self.leader else { return };
+        let actions = leader.step(now);
+        let epoch = leader.epoch();
+        if leader.is_busy() {
+            self.busy_until = now + BUSY;
+        }
+        for action in actions {
+            self.act(epoch, action).await;
+        }
+    }
+
+    async fn act(&mut self, epoch: u64, action: Action) {
+        match action {
+            Action::Order(rank, order) => {
+                if self.report.as_ref().is_some_and(|report| report.rank == rank) {
+                    self.carry_out(epoch, &order).await;
+                } else if let Some(link) = self.links.get(&rank).cloned() {
+                    self.push(&link, Message::Command(Box::new(Command { epoch, order })));
+                }
+            }
+            Action::Direct(address, order) => {
+                log::info!(target: "leader", address:% = address, order:% = own::name(&order);
+                    "agent silent, ordering its rank directly");
+                let (pool, remote) = (self.pool.clone(), self.remote.clone());
+                actix_rt::spawn(async move {
+                    if let Ok(report) = own::give(&pool, address, epoch, &order).await {
+                        let _ = remote.send((address, report));
+                    }
+                });
+            }
+            Action::Planned(plan) => {
+                log::info!(target: "leader", version = plan.version, epoch = epoch,
+                    skew_before = plan.skew.0, skew_after = plan.skew.1; "map planned");
+            }
+            Action::Done(version) => {
+                log::info!(target: "leader", version = version; "map in use");
+            }
+            Action::Dropped(version) => {
+                log::info!(target: "leader", version = version; "map given up");
+            }
+        }
+    }
+
+    /// Reads the reports of ranks whose agents are silent.
+    fn ask_silent(&mut self, now: Duration) {
+        let Some(leader) = &self.leader else { return };
+        if leader.silent(now).is_empty() {
+            return;
+        }
+        for (name, agent) in &self.described {
+            let heard = self.heard.get(name).copied().unwrap_or_default();
+            if *name == self.settings.name || now < heard + REMOTE {
+                continue;
+            }
+            let (pool, remote, address) = (self.pool.clone(), self.remote.clone(), agent.address);
+            actix_rt::spawn(async move {
+                if let Ok(report) = own::report(&pool, address).await {
+                    let _ = remote.send((address, report));
+                }
+            });
+        }
+    }
+}
+
+/// Whether something is due, noting that it is done now.
+fn is_due(last: &mut Option<Duration>, now: Duration, interval: Duration) -> bool {
+    let due = last.is_none_or(|last| now >= last + interval);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
--- /dev/null
+++ b/components/rank/src/lib.rs
@@ -0,0 +1,14 @@
+//! An agent beside a rank of a group: reports, orders and leadership.
+//!
+//! The decisions are those of [`group::switch::Leader`]; this crate reads the
+//! rank's reports, gives it orders, and decides by silence whom to follow.
+
+mod agent;
+mod follow;
+mod own;
+mod run;
+mod settings;
+
+pub use follow::Follow;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/components/rank/src/run.rs
@@ -0,0 +1,139 @@
+//! Starts the agent's parts and stops them.
+
+use std::time::Duration;
+
+use balance::content::{Agent as Described, Content, Kind};
+use connection::Pool;
+use daemon::Error;
+use group::placement::even::Bounds;
+use group::switch::{Model, Report};
+use platform::Client;
+use tables::Name;
+use telemetry::{Metrics, Readiness};
+use tokio::sync::mpsc;
+use wire::{Link, Sender};
+
+use crate::agent::{Agent, Event};
+use crate::own;
+use crate::settings::Settings;
+
+/// Time between two looks at which agents there are.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Wait before the rank is asked again for its first report.
+const FIRST_REPORT: Duration = Duration::from_millis(200);
+
+/// Runs an agent until `stop` completes.
+///
+/// # Errors
+///
+/// If an address can't be used.
+pub async fn run(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), Error> {
+    let metrics = Metrics::new()?;
+    let (events, received) = mpsc::unbounded_channel();
+    let identity = Sender {
+        name: settings.name.clone(),
+        incarnation: daemon::incarnation(),
+        link: settings.link_name(),
+    };
+    let frames = events.clone();
+    let link = Link::open(identity, move |frame| {
+        // The receiver is gone only when the process ends.
+        let _ = frames.send(Event::Frame(frame));
+    })?;
+    serve_operations(&settings, metrics)?;
+    let (remote, mut reports) = mpsc::unbounded_channel();
+    let forward = events.clone();
+    actix_rt::spawn(async move {
+        while let Some((address, report)) = reports.recv().await {
+            let _ = forward.send(Event::Remote(address, report));
+        }
+    });
+    let urls = vec![format!("http://{}", settings.store).into()];
+    let client = Client::new(urls, registry::ANSWER_TIMEOUT);
+    actix_rt::spawn(look(settings.clone(), client, events));
+    let agent = Agent::new(settings.clone(), link, remote);
+    actix_rt::spawn(agent.run(received));
+    log::info!(target: "agent", name:% = settings.name, rank:% = settings.rank; "started");
+    stop.await;
+    log::info!(target: "agent", name:% = settings.name; "stopped");
+    log::logger().flush();
+    Ok(())
+}
+
+fn serve_operations(settings: &Settings, metrics: Metrics) -> Result<(), Error> {
+    let ready = || async { Readiness::Ready };
+    let name = settings.name.clone();
+    let dump = move || {
+        let name = name.clone();
+        async move { serde_json::json!({ "name": name }) }
+    };
+    let configure = telemetry::operations(metrics, ready, dump);
+    daemon::serve(settings.operations, 1, Duration::from_secs(1), configure)?;
+    Ok(())
+}
+
+/// Enters the agent into the store and looks for the others.
+async fn look(settings: Settings, client: Client, events: mpsc::UnboundedSender<Event>) {
+    let report = first_report(&settings).await;
+    let described = Described {
+        link: settings.link_name(),
+        address: settings.rank,
+        group: report.group.as_str().into(),
+    };
+    let description = adapter::store::encode_agent(&described);
+    registry::register(client.clone(), Kind::Agent, settings.name.clone(), description).await;
+    loop {
+        let agents = agents(&client).await;
+        let model = model(&client, &settings.pool).await;
+        if let (Some(agents), Some(model)) = (agents, model) {
+            let _ = events.send(Event::Known(agents, Some(model)));
+        }
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
+
+async fn first_report(settings: &Settings) -> Report {
+    let pool = Pool::default();
+    loop {
+        match own::report(&pool, settings.rank).await {
+            Ok(report) => return report,
+            Err(error) => {
+                log::info!(target: "rank", error:% = error; "no report yet");
+                actix_rt::time::sleep(FIRST_REPORT).await;
+            }
+        }
+    }
+}
+
+async fn agents(client: &Client) -> Option<Vec<(Name, Content)>> {
+    match registry::list_stale(client, Kind::Agent).await {
+        Ok(page) => {
+            Some(page.rows.into_iter().filter_map(|(n, row)| Some((n, row.body?))).collect())
+        }
+        Err(error) => {
+            log::info!(target: "store", error:% = error; "agents not listed");
+            None
+        }
+    }
+}
+
+/// What the configuration says of the model that the pool serves.
+async fn model(client: &Client, pool: &Name) -> Option<Model> {
+    let page = match registry::list_stale(client, Kind::Config).await {
+        Ok(page) => page,
+        Err(error) => {
+            log::info!(target: "store", error:% = error; "configuration not read");
+            return None;
+        }
+    };
+    let bodies = page.rows.into_iter().filter_map(|(_, row)| row.body);
+    let configs = bodies.filter_map(|content| match content {
+        Content::Config(config) => Some(config),
+        _ => None,
+    });
+    let engines = configs.into_iter().filter_map(|config| config.pools.get(pool)?.engine);
+    let experts = engines.into_iter().find_map(|engine| engine.experts)?;
+    let bounds = Bounds { places: experts.places as usize, fresh: experts.fresh as usize };
+    Some(Model { sets: experts.sets as usize, experts: experts.count as usize, bounds })
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -65,6 +65,8 @@
     Heartbeat,
     /// Entry to entry, where entries send straight to backend servers.
     Entry(balance::gossip::Message),
+    /// Agent to agent, where ranks take orders one by one.
+    Switch(group::switch::Message),
     /// Agent to agent: the business of a rank group.
     Group(group::Message),
 }
