--- a/components/daemon/src/signal.rs
+++ b/components/daemon/src/signal.rs
@@ -15,3 +15,15 @@
         _ = int.recv() => log::info!("told to stop by SIGINT"),
     }
 }
+
+/// Calls `on_hangup` at each SIGHUP, until the future is dropped. A process
+/// that does not listen for it is ended by it.
+pub async fn hangups(mut on_hangup: impl FnMut()) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("SIGHUP can't be handled; it ends the process");
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        on_hangup();
+    }
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use actix_web::dev::ServerHandle;
 use actix_web::web;
 use balance::content::Kind;
 use balance::{Balancer, Options};
@@ -56,7 +57,7 @@
     let self_description = balancer.self_description();
     let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics)));
     let talk = peers::start(shared.clone(), settings.name.clone(), settings.link_name())?;
-    serve(&settings, &shared, metrics)?;
+    let callers = serve(&settings, &shared, metrics)?;
     actix_rt::spawn(talk);
     let urls = vec![format!("http://{}", settings.store).into()];
     let client = platform::Client::new(urls, registry::ANSWER_TIMEOUT);
@@ -70,14 +71,18 @@
     log::info!(target: "entry", name:% = settings.name, zone:% = settings.zone,
         listen:% = settings.listen, incarnation = incarnation; "started");
     stop.await;
-    drain(&settings, &shared).await;
+    drain(&settings, &shared, &callers).await;
     log::info!(target: "entry", name:% = settings.name, open = shared.open(); "stopped");
     log::logger().flush();
     Ok(())
 }
 
-fn serve(settings: &Settings, shared: &Arc<Shared>, metrics: Metrics) -> Result<(), Error> {
-    let callers = daemon::Options { keep_alive: CALLER_IDLE, half_closed: false };
+fn serve(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    metrics: Metrics,
+) -> Result<ServerHandle, Error> {
+    let options = daemon::Options { keep_alive: CALLER_IDLE, half_closed: false };
     let context_shared = shared.clone();
     let configure = move |config: &mut web::ServiceConfig| {
         // Made on the thread that serves: connections stay on it.
@@ -94,20 +99,23 @@
             front::serve(context.clone(), request, payload)
         }));
     };
-    daemon::serve_with(settings.listen, 1, settings.grace, callers, configure)?;
+    let callers = daemon::serve_with(settings.listen, 1, settings.grace, options, configure)?;
     let ready = operations::configure_ready(shared.clone());
     daemon::serve(settings.ready, 1, settings.grace, ready)?;
     let operations = operations::configure(shared.clone(), metrics);
     daemon::serve(settings.operations, 1, settings.grace, operations)?;
-    Ok(())
+    Ok(callers)
 }
 
 /// Says that callers should go elsewhere and waits for open requests.
-async fn drain(settings: &Settings, shared: &Shared) {
+async fn drain(settings: &Settings, shared: &Shared, callers: &ServerHandle) {
     let begun = Instant::now();
     shared.leave();
     log::info!(target: "entry", open = shared.open(); "stopping");
     actix_rt::time::sleep(LINGER.min(settings.grace / 2)).await;
+    // Closes idle connections: what came on them later could not be finished.
+    let stopped = callers.stop(true);
+    actix_rt::spawn(stopped);
     while shared.open() > 0 && begun.elapsed() + MARGIN < settings.grace {
         actix_rt::time::sleep(LOOK).await;
     }
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -46,7 +46,7 @@
         Tuning {
             half_life: Duration::from_millis(500),
             pause: Duration::from_millis(200),
-            least_gain: 0.08,
+            least_gain: 0.15,
             lead: 2,
             least_tokens: 2000.0,
         }
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -54,6 +54,9 @@
     actix_rt::spawn(look(settings.clone(), client, events));
     let agent = Agent::new(settings.clone(), link, remote);
     actix_rt::spawn(agent.run(received));
+    actix_rt::spawn(daemon::hangups(|| {
+        log::info!(target: "settings", "told to reload; changes need a restart");
+    }));
     log::info!(target: "agent", name:% = settings.name, rank:% = settings.rank; "started");
     stop.await;
     log::info!(target: "agent", name:% = settings.name; "stopped");
