Let two entries follow the store, and change maps of 63 ranks without a pause

Ruled out: copying itself (0.13 s on the leader's rank). Also: servers that lapse around an outage are now held, the return was never noted.

--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer.rs
@@ -31,6 +31,17 @@
 /// store's own answer is usually on its way.
 const PULL_AFTER: Duration = Duration::from_millis(120);
 
+/// Entries that follow the store. More than one, so that the loss of one
+/// delays nothing.
+const FOLLOWERS: usize = 2;
+
+/// Time since the store answered an entry after which that entry no longer
+/// counts as following. Longer than a watch waits.
+const STORE_LIFETIME: Duration = Duration::from_millis(2800);
+
+/// Silence of an entry after which it no longer counts as following.
+const HEARD_LIFETIME: Duration = Duration::from_millis(700);
+
 /// Least time between two questions about the same kind.
 const PULL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -82,6 +93,8 @@
     link: Name,
     heard: Duration,
     incarnation: u64,
+    /// When the store last answered it, as it said.
+    store_heard: Option<Duration>,
 }
 
 /// A kind in which some other entry knows more.
@@ -101,6 +114,7 @@
     behind: BTreeMap<Kind, Behind>,
     crashes: Register,
     rng: ChaCha8Rng,
+    store_heard: Option<Duration>,
     leaving: bool,
 }
 
@@ -116,6 +130,7 @@
             neighbours: BTreeMap::new(),
             behind: BTreeMap::new(),
             crashes: Register::default(),
+            store_heard: None,
             leaving: false,
         }
     }
@@ -155,6 +170,24 @@
         self.view.note_return(now);
     }
 
+    /// Notes that the store answered.
+    pub fn note_store(&mut self, now: Duration) {
+        self.store_heard = Some(now);
+    }
+
+    /// Whether this entry follows the store itself: so do the first entries in
+    /// the order of names that the store answers. The others learn from them.
+    pub fn follows_store(&self, now: Duration) -> bool {
+        if !self.view.is_known(Kind::Config) || !self.view.is_known(Kind::Server) {
+            return true;
+        }
+        let earlier = self.neighbours.iter().filter(|(name, other)| {
+            let answers = other.store_heard.is_some_and(|heard| now < heard + STORE_LIFETIME);
+            **name < self.options.name && now < other.heard + HEARD_LIFETIME && answers
+        });
+        earlier.count() < FOLLOWERS
+    }
+
     /// Takes in what the store or another entry says. Returns whether anything
     /// changed.
     pub fn learn(&mut self, now: Duration, update: Update) -> bool {
@@ -424,7 +457,18 @@
         if *from == self.options.name || !self.is_current(from, incarnation) {
             return Vec::new();
         }
-        let neighbour = Neighbour { link: link.clone(), heard: now, incarnation };
+        let store_heard = match &message {
+            Message::Heartbeat(heartbeat) => heartbeat
+                .store_age_ms
+                .map(|age| now.saturating_sub(Duration::from_millis(age.into()))),
+            _ => self.neighbours.get(from).and_then(|known| known.store_heard),
+        };
+        let lost = |heard: Option<Duration>| heard.is_none_or(|heard| now > heard + STORE_LIFETIME);
+        let known = self.neighbours.get(from).map(|known| known.store_heard);
+        if known.is_some_and(lost) && !lost(store_heard) && lost(self.store_heard) {
+            self.note_return(now);
+        }
+        let neighbour = Neighbour { link: link.clone(), heard: now, incarnation, store_heard };
         self.neighbours.insert(from.clone(), neighbour);
         match message {
             Message::Heartbeat(heartbeat) => self.take_heartbeat(now, from, link, heartbeat),
@@ -474,8 +518,9 @@
             self.behind.remove(&kind);
             return false;
         }
+        let follows = self.follows_store(now);
         let behind = self.behind.entry(kind).or_insert(Behind { since: now, asked: None });
-        let patient = self.view.is_known(kind) && now < behind.since + PULL_AFTER;
+        let patient = follows && now < behind.since + PULL_AFTER;
         if patient || behind.asked.is_some_and(|asked| now < asked + PULL_INTERVAL) {
             return false;
         }
@@ -498,12 +543,18 @@
     }
 
     /// What the other entries are told.
-    pub fn heartbeat(&self) -> Message {
+    pub fn heartbeat(&self, now: Duration) -> Message {
         let revisions = Kind::ALL.iter().map(|kind| (*kind, self.view.revision(*kind))).collect();
         let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
         let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
-        let leaving = self.leaving;
-        Message::Heartbeat(Heartbeat { revisions, load, crashes: self.crashes.told(), leaving })
+        let age = self.store_heard.map(|heard| now.saturating_sub(heard).as_millis());
+        Message::Heartbeat(Heartbeat {
+            revisions,
+            load,
+            crashes: self.crashes.told(),
+            store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
+            leaving: self.leaving,
+        })
     }
 
     /// Drops what has grown old.
--- a/components/balance/src/content.rs
+++ b/components/balance/src/content.rs
@@ -24,8 +24,8 @@
 }
 
 impl Kind {
-    /// The kinds that entries follow.
-    pub const ALL: [Kind; 4] = [Kind::Config, Kind::Server, Kind::Zone, Kind::Peer];
+    /// The kinds that entries follow and tell each other.
+    pub const ALL: [Kind; 3] = [Kind::Config, Kind::Server, Kind::Zone];
 }
 
 /// The content of an object.
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -28,6 +28,9 @@
     /// Requests that crashed backend servers, by fingerprint, with the number
     /// of crashes that this entry saw.
     pub crashes: Vec<(u64, u32)>,
+    /// Time since the store last answered the entry, in milliseconds; nothing
+    /// if it never did.
+    pub store_age_ms: Option<u32>,
     /// Whether the entry is leaving.
     pub leaving: bool,
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -41,7 +41,7 @@
                 let mut balancer = shared.balancer();
                 balancer.tick(now);
                 let links = balancer.links();
-                let heartbeat = balancer.heartbeat();
+                let heartbeat = balancer.heartbeat(now);
                 drop(balancer);
                 for gone in known.iter().filter(|name| !links.contains(name)) {
                     link.forget(gone);
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -65,6 +65,7 @@
         let seed = incarnation.wrapping_add(index as u64);
         actix_rt::spawn(store::follow(shared.clone(), client.clone(), kind, seed));
     }
+    actix_rt::spawn(store::follow_peers(shared.clone(), client.clone()));
     let description = adapter::store::encode_peer(&self_description);
     actix_rt::spawn(registry::register(client, Kind::Peer, settings.name.clone(), description));
     actix_rt::spawn(reload::follow(shared.clone(), path, settings.clone()));
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -8,7 +8,7 @@
 use crate::switch::{Armed, Order, Report, Status};
 
 /// Age at which a rank's status no longer counts.
-const STATUS_LIFETIME: Duration = Duration::from_millis(900);
+const STATUS_LIFETIME: Duration = Duration::from_millis(1300);
 
 /// Time before an order that shows no effect is sent again.
 const REPEAT: Duration = Duration::from_millis(150);
@@ -21,7 +21,16 @@
 const PREPARE_LIMIT: Duration = Duration::from_secs(4);
 
 /// Silence of an agent under a hold after which its rank is ordered directly.
-const DIRECT_AFTER: Duration = Duration::from_millis(250);
+const DIRECT_AFTER: Duration = Duration::from_millis(800);
+
+/// Shortest pass that is reckoned with, also while the group rests.
+const PASS_MIN: Duration = Duration::from_millis(20);
+
+/// What a pass is taken to last before any was seen.
+const PASS_FIRST: Duration = Duration::from_millis(60);
+
+/// Time over which the duration of a pass is taken.
+const PACE_WINDOW: Duration = Duration::from_millis(500);
 
 /// Bits of a version that tell apart the maps of different leaders.
 const TAG_BITS: u32 = 16;
@@ -35,8 +44,10 @@
     pub pause: Duration,
     /// Least fall of the skew for which a change is made.
     pub least_gain: f64,
-    /// Passes between the last report and the pass of a switch.
-    pub lead: u64,
+    /// Time between a hold and the pass of the switch, for a group of one rank.
+    pub lead: Duration,
+    /// What each further rank adds to it.
+    pub lead_per_rank: Duration,
     /// Tokens without which nothing is planned.
     pub least_tokens: f64,
 }
@@ -47,7 +58,8 @@
             half_life: Duration::from_millis(500),
             pause: Duration::from_millis(200),
             least_gain: 0.15,
-            lead: 2,
+            lead: Duration::from_millis(180),
+            lead_per_rank: Duration::from_millis(4),
             least_tokens: 2000.0,
         }
     }
@@ -111,6 +123,8 @@
     last_end: Duration,
     highest: u64,
     last_hold: u64,
+    pass: Duration,
+    paced: Option<(u64, Duration)>,
 }
 
 impl Leader {
@@ -129,6 +143,8 @@
             last_end: Duration::ZERO,
             highest: 0,
             last_hold: 0,
+            pass: PASS_FIRST,
+            paced: None,
         }
     }
 
@@ -142,6 +158,9 @@
             self.begin_epoch(report.epoch);
         }
         self.note_versions(&status.report);
+        if status.report.rank == self.own {
+            self.note_pace(now, status.report.step);
+        }
         self.decay(now);
         for (known, more) in self.demand.iter_mut().zip(status.demand.iter().flatten()) {
             for (known, more) in known.iter_mut().zip(more) {
@@ -162,6 +181,22 @@
         self.ranks.get(&rank).map_or(0, |known| known.status.report.map)
     }
 
+    /// Learns how long a pass lasts from the passes of a longer time.
+    fn note_pace(&mut self, now: Duration, step: u64) {
+        let Some((from, at)) = self.paced else {
+            self.paced = Some((step, now));
+            return;
+        };
+        let passed = now.saturating_sub(at);
+        if passed < PACE_WINDOW {
+            return;
+        }
+        if step > from {
+            self.pass = passed / (step - from).min(u64::from(u32::MAX)) as u32;
+        }
+        self.paced = Some((step, now));
+    }
+
     fn note_versions(&mut self, report: &Report) {
         let armed = report.armed.map_or(0, |armed| armed.version);
         self.highest = self.highest.max(report.map).max(report.prepared).max(armed);
@@ -174,6 +209,7 @@
         self.ranks.clear();
         self.plan = None;
         self.last_hold = 0;
+        self.paced = None;
     }
 
     fn decay(&mut self, now: Duration) {
@@ -287,7 +323,7 @@
         }
         if reports.iter().all(|report| report.prepared == plan.version) {
             let step = reports.iter().map(|report| report.step).max().unwrap_or_default();
-            let step = (step + self.tuning.lead).max(self.last_hold + 1);
+            let step = (step + self.lead(reports.len())).max(self.last_hold + 1);
             let holder = if self.ranks.contains_key(&self.own) { self.own } else { 0 };
             self.order_hold(now, holder, step, actions);
             return;
@@ -305,6 +341,14 @@
         }
     }
 
+    /// Passes between the last report and the pass of a switch: enough for all
+    /// ranks to be armed before the pass is due, so that nobody waits.
+    fn lead(&self, ranks: usize) -> u64 {
+        let wanted = self.tuning.lead + self.tuning.lead_per_rank * ranks as u32;
+        let pass = self.pass.max(PASS_MIN);
+        (wanted.as_secs_f64() / pass.as_secs_f64()).ceil() as u64 + 1
+    }
+
     /// Holds a pass. A hold that came too late is placed anew further on.
     fn order_hold(&mut self, now: Duration, holder: u32, step: u64, actions: &mut Vec<Action>) {
         let Some(rank) = self.ranks.get(&holder) else { return };
--- a/components/rank/src/agent.rs
+++ b/components/rank/src/agent.rs
@@ -29,7 +29,14 @@
 const CHOICES: Duration = Duration::from_millis(200);
 
 /// Time between two accounts to the leader while nothing changes.
-const STATUS: Duration = Duration::from_millis(200);
+const STATUS: Duration = Duration::from_millis(400);
+
+/// Ranks whose choices are read. The requests of so many tell the demand of
+/// all, and the leader's link carries no more.
+const SAMPLED: u32 = 16;
+
+/// Time between two words of the leader to an agent that sends its status.
+const LEADING: Duration = Duration::from_millis(200);
 
 /// Time between two questions to a rank whose agent is silent.
 const REMOTE: Duration = Duration::from_millis(500);
@@ -129,7 +136,7 @@
         if busy || is_due(&mut self.due.report, now, REPORT_IDLE) {
             self.refresh().await;
         }
-        if is_due(&mut self.due.choices, now, CHOICES) {
+        if self.is_sampled() && is_due(&mut self.due.choices, now, CHOICES) {
             self.read_choices().await;
         }
         for earlier in self.follow.tick(now) {
@@ -137,7 +144,8 @@
                 self.send(&earlier, Message::Status(Box::new(status)));
             }
         }
-        if is_due(&mut self.due.status, now, STATUS) {
+        let fresh = self.demand.is_some() && !self.follow.leads();
+        if fresh || is_due(&mut self.due.status, now, STATUS) {
             self.tell();
         }
         if self.follow.leads() && is_due(&mut self.due.remote, now, REMOTE) {
@@ -186,6 +194,12 @@
         }
     }
 
+    /// Whether the choices of this rank's requests are read.
+    fn is_sampled(&self) -> bool {
+        let Some(report) = &self.report else { return false };
+        report.rank % report.size.div_ceil(SAMPLED).max(1) == 0
+    }
+
     async fn read_choices(&mut self) {
         let Some(model) = self.model else { return };
         let counts = match own::choices(&self.pool, self.settings.rank, model.sets).await {
@@ -275,9 +289,13 @@
             Message::Status(status) => {
                 if self.follow.leads() {
                     self.links.insert(status.report.rank, sender.link.clone());
-                    self.heard.insert(sender.name.clone(), now);
+                    let heard = self.heard.insert(sender.name.clone(), now);
                     self.hear_status(*status);
-                    self.push(&sender.link.clone(), Message::Leading);
+                    if heard.is_none_or(|heard| now >= heard + LEADING) {
+                        self.push(&sender.link.clone(), Message::Leading);
+                    } else if let Some(heard) = heard {
+                        self.heard.insert(sender.name.clone(), heard);
+                    }
                 }
             }
             Message::Leading => {
@@ -292,6 +310,7 @@
             }
             Message::Command(command) => {
                 if self.follow.leader() == Some(&sender.name) {
+                    self.follow.hear(now, &sender.name);
                     self.carry_out(command.epoch, &command.order).await;
                 } else {
                     log::info!(target: "order", from:% = sender.name,
--- a/components/rank/src/follow.rs
+++ b/components/rank/src/follow.rs
@@ -5,7 +5,7 @@
 use tables::Name;
 
 /// Silence after which the next agent is tried.
-const PATIENCE: Duration = Duration::from_millis(700);
+const PATIENCE: Duration = Duration::from_millis(1600);
 
 /// Time between two questions whether an agent earlier in order is back.
 const PROBE: Duration = Duration::from_millis(500);
@@ -17,7 +17,7 @@
 /// let mut follow = rank::Follow::new("b".into());
 /// follow.set_agents(Duration::ZERO, vec!["a".into(), "b".into()]);
 /// assert_eq!(follow.leader(), Some(&"a".into()));
-/// follow.tick(Duration::from_secs(1));
+/// follow.tick(Duration::from_secs(2));
 /// assert!(follow.leads());
 /// ```
 #[derive(Debug)]
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -20,6 +20,9 @@
 /// Time between two looks at which agents there are.
 const LOOK: Duration = Duration::from_secs(2);
 
+/// The same once all agents are known.
+const LOOK_COMPLETE: Duration = Duration::from_secs(6);
+
 /// Wait before the rank is asked again for its first report.
 const FIRST_REPORT: Duration = Duration::from_millis(200);
 
@@ -86,13 +89,18 @@
     };
     let description = adapter::store::encode_agent(&described);
     registry::register(client.clone(), Kind::Agent, settings.name.clone(), description).await;
+    let mut served = None;
     loop {
-        let agents = agents(&client).await;
-        let model = model(&client, &settings.pool).await;
-        if let (Some(agents), Some(model)) = (agents, model) {
-            let _ = events.send(Event::Known(agents, Some(model)));
+        if served.is_none() {
+            served = model(&client, &settings.pool).await;
+        }
+        let agents = agents(&client).await.unwrap_or_default();
+        let whole = agents.len() >= report.size as usize;
+        if !agents.is_empty() {
+            let _ = events.send(Event::Known(agents, served));
         }
-        actix_rt::time::sleep(LOOK).await;
+        let complete = whole && served.is_some();
+        actix_rt::time::sleep(if complete { LOOK_COMPLETE } else { LOOK }).await;
     }
 }
 
