--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer.rs
@@ -520,7 +520,7 @@
         }
         let follows = self.follows_store(now);
         let behind = self.behind.entry(kind).or_insert(Behind { since: now, asked: None });
-        let patient = follows && now < behind.since + PULL_AFTER;
+        let patient = follows && self.view.is_known(kind) && now < behind.since + PULL_AFTER;
         if patient || behind.asked.is_some_and(|asked| now < asked + PULL_INTERVAL) {
             return false;
         }
--- /dev/null
+++ b/components/balance/tests/dispatch.rs
@@ -0,0 +1,236 @@
+//! Where requests are sent, sent again, and what callers are told otherwise.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use balance::{Next, Outcome, Reason};
+use common::{ask, blank, configured, listing, ms, rank, ready, sent, server, zones_out};
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const OUTCOMES: [Outcome; 7] = [
+    Outcome::Unconnected,
+    Outcome::Refused,
+    Outcome::Misdirected,
+    Outcome::Broken,
+    Outcome::Stale,
+    Outcome::Failed,
+    Outcome::Expired,
+];
+
+fn desk(count: u16) -> Vec<(String, balance::content::Server)> {
+    (0..count).map(|index| (format!("d{index}"), server("desk", "a", 8000 + index))).collect()
+}
+
+fn with_desk(count: u16) -> balance::Balancer {
+    let desk = desk(count);
+    let named: Vec<_> = desk.iter().map(|(name, server)| (name.as_str(), server.clone())).collect();
+    ready(&named)
+}
+
+#[rstest]
+#[case::unconnected(Outcome::Unconnected, true)]
+#[case::refused(Outcome::Refused, true)]
+#[case::misdirected(Outcome::Misdirected, true)]
+#[case::broken(Outcome::Broken, false)]
+#[case::stale(Outcome::Stale, false)]
+#[case::failed(Outcome::Failed, false)]
+fn fail_once(#[case] outcome: Outcome, #[case] again: bool) {
+    let mut balancer = with_desk(3);
+    let (mut ticket, _) = sent(&mut balancer, ms(2000), "/once/book");
+    let next = balancer.fail(ms(2010), &mut ticket, outcome);
+    assert_eq!(matches!(next, Next::Retry(_)), again, "{next:?}");
+}
+
+#[rstest]
+#[case::broken(Outcome::Broken)]
+#[case::failed(Outcome::Failed)]
+fn fail_idempotent_goes_elsewhere(#[case] outcome: Outcome) {
+    let mut balancer = with_desk(2);
+    let (mut ticket, first) = sent(&mut balancer, ms(2000), "/safe/scan");
+    let Next::Retry(target) = balancer.fail(ms(2010), &mut ticket, outcome) else { panic!() };
+    assert_ne!(target.server, first);
+}
+
+/// Random outcomes: work that must not be repeated is never sent on after it
+/// may have run, and nothing that may have run is called not run.
+#[test]
+fn fail_walk() {
+    for seed in 0..2000 {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut balancer = with_desk(4);
+        let path = ["/once/book", "/safe/scan"][rng.random_range(0..2)];
+        let (mut ticket, _) = sent(&mut balancer, ms(2000), path);
+        let mut open_ended = false;
+        for step in 0..6 {
+            let outcome = OUTCOMES[rng.random_range(0..OUTCOMES.len())];
+            let closed = [Outcome::Unconnected, Outcome::Refused, Outcome::Misdirected];
+            open_ended |= !closed.contains(&outcome);
+            match balancer.fail(ms(2010 + step * 10), &mut ticket, outcome) {
+                Next::Retry(_) => {
+                    assert!(!open_ended || path == "/safe/scan", "seed {seed}: sent once more");
+                    assert!(ticket.tried.len() <= 3, "seed {seed}: too many servers");
+                }
+                Next::Stop(refusal) => {
+                    let not_run = [503, 429, 421, 408].contains(&refusal.status);
+                    assert!(!(open_ended && not_run), "seed {seed}: {refusal:?}");
+                    assert_eq!(refusal.retry_after.is_some(), !open_ended, "seed {seed}");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn admit_without_configuration_is_not_run() {
+    let refusal = blank("entry-1").admit(ms(0), &ask("/safe/scan")).unwrap_err();
+    assert_eq!((refusal.reason, refusal.status), (Reason::Unconfigured, 503));
+    assert!(refusal.retry_after.is_some());
+}
+
+#[rstest]
+#[case::unknown_path("/nowhere/", Some("key"), 404)]
+#[case::unknown_key("/safe/scan", Some("other"), 401)]
+#[case::no_key("/safe/scan", None, 401)]
+fn admit_refused(#[case] path: &str, #[case] key: Option<&str>, #[case] status: u16) {
+    let refusal = with_desk(1).admit(ms(0), &balance::Ask { key, ..ask(path) }).unwrap_err();
+    assert_eq!(refusal.status, status);
+}
+
+#[test]
+fn choose_no_server_in_zone_out() {
+    let mut balancer =
+        ready(&[("d1", server("desk", "a", 1)), ("d2", server("desk", "b", 2))]);
+    balancer.learn(ms(0), zones_out(9, &["a"]));
+    for _ in 0..5 {
+        assert_eq!(sent(&mut balancer, ms(0), "/safe/scan").1, "d2");
+    }
+    balancer.learn(ms(10), zones_out(12, &[]));
+    let chosen: Vec<_> = (0..5).map(|_| sent(&mut balancer, ms(10), "/safe/scan").1).collect();
+    assert!(chosen.iter().any(|name| name == "d1"));
+}
+
+#[test]
+fn choose_no_draining_server() {
+    let leaving = balance::content::Server { draining: true, ..server("desk", "a", 1) };
+    let mut balancer = ready(&[("d1", leaving), ("d2", server("desk", "a", 2))]);
+    for _ in 0..8 {
+        assert_eq!(sent(&mut balancer, ms(0), "/safe/scan").1, "d2");
+    }
+}
+
+#[test]
+fn choose_nothing_in_broken_group() {
+    let mut balancer = ready(&[("r1", rank(1, false))]);
+    let mut ticket = balancer.admit(ms(0), &ask("/stream/notes")).unwrap();
+    let refusal = balancer.choose(ms(0), &mut ticket).unwrap_err();
+    assert_eq!((refusal.reason, refusal.status), (Reason::NoServer, 503));
+}
+
+/// A whole pool comes back cold while callers press: no entry sends more than
+/// its share of what a cold server tolerates.
+#[test]
+fn choose_cold_server_within_its_rate() {
+    let cold = balance::content::Server { cold: ms(5000), ..rank(1, true) };
+    let mut balancer = ready(&[("r1", cold)]);
+    let mut taken = 0;
+    for step in 0..200 {
+        let now = ms(1000 + step * 10);
+        let mut ticket = balancer.admit(now, &ask("/stream/notes")).unwrap();
+        if let Ok(target) = balancer.choose(now, &mut ticket) {
+            assert!(target.cold);
+            balancer.note_first(&target.server, 100);
+            balancer.release(&target.server);
+            taken += 1;
+        }
+    }
+    assert!((10..=22).contains(&taken), "{taken} in two seconds at 10 a second");
+}
+
+#[test]
+fn choose_least_busy_server() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1)), ("d2", server("desk", "a", 2))]);
+    let chosen: Vec<_> = (0..8).map(|_| sent(&mut balancer, ms(0), "/safe/scan").1).collect();
+    assert_eq!(chosen.iter().filter(|name| *name == "d1").count(), 4);
+}
+
+#[test]
+fn choose_refuses_at_once_when_all_are_full() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1))]);
+    let mut refusal = None;
+    for _ in 0..40 {
+        let mut ticket = balancer.admit(ms(0), &ask("/safe/scan")).unwrap();
+        if let Err(refused) = balancer.choose(ms(0), &mut ticket) {
+            refusal = Some(refused);
+        }
+    }
+    let refusal = refusal.unwrap();
+    assert_eq!((refusal.reason, refusal.status), (Reason::Full, 503));
+}
+
+#[test]
+fn fail_misdirected_server_is_left_until_it_writes_anew() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1))]);
+    let (mut ticket, _) = sent(&mut balancer, ms(2000), "/safe/scan");
+    assert!(matches!(balancer.fail(ms(2001), &mut ticket, Outcome::Misdirected), Next::Stop(_)));
+    let mut again = balancer.admit(ms(2002), &ask("/safe/scan")).unwrap();
+    assert!(balancer.choose(ms(2002), &mut again).is_err());
+    let newer = balance::content::Server { born: 2, ..server("desk", "a", 1) };
+    balancer.learn(ms(2003), listing(20, &[("d1", newer)]));
+    assert!(balancer.choose(ms(2003), &mut again).is_ok());
+}
+
+#[test]
+fn fail_pauses_server_after_several_failures() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1)), ("d2", server("desk", "a", 2))]);
+    for _ in 0..2 {
+        let mut ticket = balancer.admit(ms(2000), &ask("/safe/scan")).unwrap();
+        while balancer.choose(ms(2000), &mut ticket).unwrap().server != "d1" {
+            ticket.tried.clear();
+        }
+        balancer.fail(ms(2000), &mut ticket, Outcome::Failed);
+    }
+    for _ in 0..8 {
+        assert_eq!(sent(&mut balancer, ms(2010), "/safe/scan").1, "d2");
+    }
+}
+
+#[test]
+fn fail_retries_stay_within_the_budget() {
+    let mut balancer = with_desk(3);
+    let mut retries = 0;
+    for step in 0..500 {
+        let now = ms(5000 + step);
+        let Ok(mut ticket) = balancer.admit(now, &ask("/safe/scan")) else { continue };
+        let Ok(target) = balancer.choose(now, &mut ticket) else { continue };
+        if matches!(balancer.fail(now, &mut ticket, Outcome::Refused), Next::Retry(_)) {
+            retries += 1;
+        }
+        balancer.release(&target.server);
+    }
+    // Ratio 0.2 of 500 and a tenth of the slack a second for half a second,
+    // besides what may be saved up.
+    assert!(retries <= 100 + 2 + 20, "{retries}");
+}
+
+#[test]
+fn admit_bars_request_that_crashed_three_servers() {
+    let mut balancer = with_desk(4);
+    let (mut ticket, _) = sent(&mut balancer, ms(2000), "/safe/scan");
+    for _ in 0..3 {
+        balancer.fail(ms(2001), &mut ticket, Outcome::Broken);
+    }
+    let refusal = balancer.admit(ms(2002), &ask("/safe/scan")).unwrap_err();
+    assert_eq!((refusal.reason, refusal.status), (Reason::Crashes, 503));
+    let other = balance::Ask { fingerprint: 2, ..ask("/safe/scan") };
+    assert!(balancer.admit(ms(2002), &other).is_ok());
+}
+
+#[test]
+fn learn_listing_out_of_order_changes_nothing() {
+    let mut balancer = with_desk(1);
+    balancer.learn(ms(0), configured(30, common::config(5)));
+    balancer.learn(ms(0), configured(20, common::config(4)));
+    assert_eq!(balancer.config().unwrap().version, 5);
+}
