--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -7,7 +7,7 @@
 
 /// Improvement of the busiest rank below which a step isn't worth taking, as a
 /// part of the mean load.
-const LEAST_GAIN: f64 = 0.02;
+const LEAST_GAIN: f64 = 0.03;
 
 /// Ranks that are tried as new holders, idlest first.
 const TARGETS: usize = 16;
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -14,7 +14,7 @@
 const REPEAT: Duration = Duration::from_millis(150);
 
 /// The same for copying a map, which takes longer.
-const REPEAT_PREPARE: Duration = Duration::from_millis(1200);
+const REPEAT_PREPARE: Duration = Duration::from_millis(900);
 
 /// Time after which a map that is not ready everywhere is given up. No rank is
 /// armed or held before that, so giving up is harmless.
@@ -56,10 +56,10 @@
     fn default() -> Tuning {
         Tuning {
             half_life: Duration::from_millis(500),
-            pause: Duration::from_millis(200),
+            pause: Duration::from_millis(100),
             least_gain: 0.15,
             lead: Duration::from_millis(180),
-            lead_per_rank: Duration::from_millis(4),
+            lead_per_rank: Duration::from_millis(2),
             least_tokens: 2000.0,
         }
     }
--- a/components/rank/src/agent.rs
+++ b/components/rank/src/agent.rs
@@ -25,6 +25,13 @@
 /// Time after an order in which reports are read at each tick.
 const BUSY: Duration = Duration::from_millis(1000);
 
+/// Time after which an order without effect is given again: its answer or the
+/// order itself was lost, or it is carried out too late.
+const GIVE_AGAIN: Duration = Duration::from_millis(120);
+
+/// Time after which an order without effect is left to the leader.
+const GIVE_UP: Duration = Duration::from_secs(2);
+
 /// Time between two readings of how experts were chosen.
 const CHOICES: Duration = Duration::from_millis(200);
 
@@ -57,11 +64,21 @@
     experts: Option<(u64, u64, Vec<Vec<u16>>)>,
     counts: Option<Vec<Vec<u64>>>,
     demand: Option<Vec<Vec<u32>>>,
+    /// The last order, until a report shows its effect.
+    pending: Option<Pending>,
     busy_until: Duration,
     due: Due,
     remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
 }
 
+/// An order whose effect has not shown yet.
+struct Pending {
+    epoch: u64,
+    order: Order,
+    begun: Duration,
+    given: Duration,
+}
+
 /// When things were last done.
 #[derive(Debug, Default)]
 struct Due {
@@ -103,6 +120,7 @@
             experts: None,
             counts: None,
             demand: None,
+            pending: None,
             busy_until: Duration::ZERO,
             due: Due::default(),
             remote,
@@ -140,6 +158,7 @@
         if busy || is_due(&mut self.due.report, now, REPORT_IDLE) {
             self.refresh().await;
         }
+        self.give_again(now).await;
         if self.is_sampled() && is_due(&mut self.due.choices, now, CHOICES) {
             self.read_choices().await;
         }
@@ -325,6 +344,30 @@
     }
 
     async fn carry_out(&mut self, epoch: u64, order: &Order) {
+        let now = self.now();
+        self.pending = Some(Pending { epoch, order: order.clone(), begun: now, given: now });
+        self.give(epoch, order).await;
+    }
+
+    /// Gives the last order again if no report shows its effect.
+    async fn give_again(&mut self, now: Duration) {
+        let Some(pending) = &mut self.pending else { return };
+        let open = self
+            .report
+            .as_ref()
+            .is_some_and(|report| report.epoch == pending.epoch && !pending.order.is_done(report));
+        if !open || now > pending.begun + GIVE_UP {
+            self.pending = None;
+            return;
+        }
+        if now >= pending.given + GIVE_AGAIN {
+            pending.given = now;
+            let (epoch, order) = (pending.epoch, pending.order.clone());
+            self.give(epoch, &order).await;
+        }
+    }
+
+    async fn give(&mut self, epoch: u64, order: &Order) {
         self.busy_until = self.now() + BUSY;
         match own::give(&self.pool, self.settings.rank, epoch, order).await {
             Ok(report) => {
