--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer.rs
@@ -21,7 +21,10 @@
 
 /// Share of the platform's retry budget that is used. The rest covers entries
 /// that don't know of each other for a moment.
-const BUDGET_USED: f64 = 0.7;
+const BUDGET_USED: f64 = 0.5;
+
+/// Share of the slack of one window that an entry may save up.
+const BUDGET_SAVED: f64 = 0.35;
 
 /// Time since an entry was last heard after which it has no share of what all
 /// entries have together.
@@ -428,8 +431,10 @@
         let window = limits.retry_window.as_secs_f64().max(1.0);
         let floor = BUDGET_USED * limits.retry_slack / window / self.entries(now) as f64;
         let ratio = BUDGET_USED * limits.retry_ratio;
-        let budget = self.budgets.entry(pool.clone()).or_insert_with(|| Budget::new(ratio, floor));
-        budget.set_floor(now, floor);
+        let saved = BUDGET_SAVED * limits.retry_slack / self.entries(now) as f64;
+        let fresh = || Budget::new(ratio, floor).with_saved(saved);
+        let budget = self.budgets.entry(pool.clone()).or_insert_with(fresh);
+        budget.set_share(now, floor, saved.max(1.0));
         budget
     }
 
--- a/components/balance/src/budget.rs
+++ b/components/balance/src/budget.rs
@@ -12,6 +12,7 @@
     ratio: f64,
     floor: f64,
     saved: f64,
+    limit: f64,
     at: Duration,
 }
 
@@ -28,13 +29,13 @@
     /// assert!(budget.spend(Duration::ZERO));
     /// ```
     pub fn new(ratio: f64, floor: f64) -> Budget {
-        Budget { ratio, floor, saved: 0.0, at: Duration::ZERO }
+        Budget { ratio, floor, saved: 0.0, limit: BURST, at: Duration::ZERO }
     }
 
     /// Counts a first attempt.
     pub fn earn(&mut self, now: Duration) {
         self.refill(now);
-        self.saved = (self.saved + self.ratio).min(BURST);
+        self.saved = (self.saved + self.ratio).min(self.limit);
     }
 
     /// Takes one retry out of the budget, or says that there is none left.
@@ -47,22 +48,36 @@
         true
     }
 
-    /// Changes the retries a second that need no first attempts.
+    /// Changes the retries a second that need no first attempts, and how many
+    /// retries may be saved up.
     ///
     /// ```
     /// use std::time::Duration;
     /// let mut budget = balance::budget::Budget::new(0.0, 0.0);
-    /// budget.set_floor(Duration::ZERO, 1.0);
+    /// budget.set_share(Duration::ZERO, 1.0, 5.0);
     /// assert!(budget.spend(Duration::from_secs(1)));
     /// ```
-    pub fn set_floor(&mut self, now: Duration, floor: f64) {
+    pub fn set_share(&mut self, now: Duration, floor: f64, limit: f64) {
         self.refill(now);
         self.floor = floor;
+        self.limit = limit;
+    }
+
+    /// The budget with retries that are there from the start.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut budget = balance::budget::Budget::new(0.0, 0.0).with_saved(1.0);
+    /// assert!(budget.spend(Duration::ZERO));
+    /// ```
+    pub fn with_saved(mut self, saved: f64) -> Budget {
+        self.saved = saved.min(self.limit);
+        self
     }
 
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        self.saved = (self.saved + passed * self.floor).min(BURST);
+        self.saved = (self.saved + passed * self.floor).min(self.limit);
     }
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -57,7 +57,7 @@
             .arg("--settings")
             .arg(file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("the log file twice"))
             .stderr(log)
             .spawn()
             .expect("the program starts; build the workspace first");
@@ -71,6 +71,16 @@
         assert!(sent.expect("kill runs").success(), "signal {signal} to {id}");
     }
 
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What the process logged so far.
+    pub fn logged(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
