--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer.rs
@@ -52,9 +52,18 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// Bounds of the wait that a refused caller is told when servers are full or
-/// missing. Spread over the time in which running requests end.
+/// cold, in seconds: the time in which running requests end, spread so that
+/// callers don't return together.
 const RETRY_AFTER: (f64, f64) = (0.3, 1.2);
 
+/// The same when no server of the pool is usable: a broken rank group takes
+/// about two seconds to stall, restart and form.
+const RETRY_AFTER_OUTAGE: (f64, f64) = (1.4, 2.6);
+
+/// Part of the caller's remaining time that a wait may take. From the
+/// platform's protocol: callers wait up to a third.
+const RETRY_AFTER_SHARE: f64 = 0.32;
+
 /// Least time left for which an attempt is worth sending.
 const WORTH_SENDING: Duration = Duration::from_millis(20);
 
@@ -224,7 +233,7 @@
     /// The final answer, if the request can't be admitted.
     pub fn admit(&mut self, now: Duration, ask: &Ask<'_>) -> Result<Ticket, Refusal> {
         let Some(config) = self.view.config() else {
-            return Err(self.refuse_not_run(Reason::Unconfigured));
+            return Err(self.refuse_not_run(Reason::Unconfigured, ask.patience));
         };
         let (route, account) = match config.resolve(ask.host, ask.path, ask.key) {
             Ok(found) => found,
@@ -249,7 +258,7 @@
         };
         ticket.pool = self.draw_pool(&shares);
         if self.crashes.is_barred(now, ask.fingerprint) {
-            return Err(self.refuse_not_run(Reason::Crashes));
+            return Err(self.refuse_not_run(Reason::Crashes, Some(patience)));
         }
         self.budget(now, &ticket.pool).earn(now);
         Ok(ticket)
@@ -275,11 +284,11 @@
     /// The final answer, if there is none.
     pub fn choose(&mut self, now: Duration, ticket: &mut Ticket) -> Result<Target, Refusal> {
         if now + WORTH_SENDING >= ticket.deadline {
-            return Err(self.refuse(ticket, Reason::Expired));
+            return Err(self.refuse(now, ticket, Reason::Expired));
         }
         match self.pick(now, ticket) {
             Ok(server) => Ok(self.send(now, ticket, server)),
-            Err(reason) => Err(self.refuse(ticket, reason)),
+            Err(reason) => Err(self.refuse(now, ticket, reason)),
         }
     }
 
@@ -367,17 +376,25 @@
         ticket.may_have_run |= ran;
         let reason = self.reason_to_stop(now, ticket, outcome);
         if let Some(reason) = reason {
-            return Next::Stop(self.refuse(ticket, reason));
+            return Next::Stop(self.refuse(now, ticket, reason));
+        }
+        self.retry(now, ticket)
+    }
+
+    /// Another attempt for a ticket whose last one failed.
+    pub fn retry(&mut self, now: Duration, ticket: &mut Ticket) -> Next {
+        if now + WORTH_SENDING >= ticket.deadline {
+            return Next::Stop(self.refuse(now, ticket, Reason::Expired));
         }
         match self.pick(now, ticket) {
             Ok(server) => {
                 let pool = ticket.pool.clone();
                 if !self.budget(now, &pool).spend(now) {
-                    return Next::Stop(self.refuse(ticket, Reason::Budget));
+                    return Next::Stop(self.refuse(now, ticket, Reason::Budget));
                 }
                 Next::Retry(self.send(now, ticket, server))
             }
-            Err(reason) => Next::Stop(self.refuse(ticket, reason)),
+            Err(reason) => Next::Stop(self.refuse(now, ticket, reason)),
         }
     }
 
@@ -412,17 +429,21 @@
 
     /// The final answer for a ticket. Only what certainly has not run is told
     /// so and when to come back.
-    fn refuse(&mut self, ticket: &Ticket, reason: Reason) -> Refusal {
+    fn refuse(&mut self, now: Duration, ticket: &Ticket, reason: Reason) -> Refusal {
         if ticket.may_have_run {
             let status = if reason == Reason::Expired { 504 } else { 502 };
             return Refusal { reason, status, retry_after: None };
         }
-        self.refuse_not_run(reason)
+        self.refuse_not_run(reason, Some(ticket.deadline.saturating_sub(now)))
     }
 
-    fn refuse_not_run(&mut self, reason: Reason) -> Refusal {
-        let (least, most) = RETRY_AFTER;
-        let wait = Duration::from_secs_f64(self.rng.random_range(least..most));
+    fn refuse_not_run(&mut self, reason: Reason, left: Option<Duration>) -> Refusal {
+        let outage = reason == Reason::NoServer;
+        let (least, most) = if outage { RETRY_AFTER_OUTAGE } else { RETRY_AFTER };
+        let mut wait = Duration::from_secs_f64(self.rng.random_range(least..most));
+        if let Some(left) = left {
+            wait = wait.min(left.mul_f64(RETRY_AFTER_SHARE));
+        }
         Refusal { reason, status: 503, retry_after: Some(wait) }
     }
 
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -233,3 +233,22 @@
     balancer.learn(ms(0), configured(20, common::config(4)));
     assert_eq!(balancer.config().unwrap().version, 5);
 }
+
+/// A whole rank group is down: callers are told to come back when it may be up
+/// again, spread, and within the third of their time that they wait.
+#[test]
+fn choose_in_outage_spreads_the_return() {
+    let mut balancer = ready(&[("r1", rank(1, false))]);
+    let mut waits = Vec::new();
+    for _ in 0..50 {
+        let mut ticket =
+            balancer.admit(ms(0), &balance::Ask { patience: None, ..ask("/stream/n") });
+        let refusal = balancer.choose(ms(0), ticket.as_mut().unwrap()).unwrap_err();
+        waits.push(refusal.retry_after.unwrap());
+    }
+    assert!(waits.iter().all(|wait| *wait >= ms(1400) && *wait <= ms(8000) / 3));
+    let spread = *waits.iter().max().unwrap() - *waits.iter().min().unwrap();
+    assert!(spread > ms(600), "{spread:?}");
+    let mut short = balancer.admit(ms(0), &ask("/stream/n")).unwrap();
+    assert!(balancer.choose(ms(0), &mut short).unwrap_err().retry_after.unwrap() <= ms(4000) / 3);
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 
 use adapter::header;
 use balance::config::Kind;
-use balance::{Next, Refusal, Target, Ticket};
+use balance::{Next, Reason, Refusal, Target, Ticket};
 use bytes::Bytes;
 use connection::{Connection, Pool};
 use http_body_util::BodyExt;
@@ -34,6 +34,13 @@
 const SILENCE_OBJECTIVES: f64 = 2.0;
 const SILENCE_MIN: Duration = Duration::from_millis(400);
 
+/// Time that a begun stream waits for a backend server. Below the two seconds
+/// after which callers give up.
+const RESUME_WAIT: Duration = Duration::from_millis(1500);
+
+/// Time between two looks for a backend server meanwhile.
+const RESUME_LOOK: Duration = Duration::from_millis(50);
+
 /// What every request on a thread uses.
 pub struct Context {
     /// State of the process.
@@ -222,15 +229,19 @@
             next = matches!(next, Next::Retry(_)); "attempt failed");
         match next {
             Next::Retry(target) => {
-                self.shared().meter.retries.add(1);
-                self.target = target;
-                self.begin_attempt();
+                self.go_to(target);
                 Ok(())
             }
             Next::Stop(refusal) => Err(refusal),
         }
     }
 
+    fn go_to(&mut self, target: Target) {
+        self.shared().meter.retries.add(1);
+        self.target = target;
+        self.begin_attempt();
+    }
+
     /// Sends the request and waits for the head of the answer.
     async fn exchange(&mut self) -> Result<(Connection, Response<Incoming>), Error> {
         let address = self.target.address;
@@ -408,12 +419,37 @@
         }
     }
 
+    /// Waits until a backend server takes a begun stream, as long as its caller
+    /// does: a broken rank group may be back before.
+    async fn wait_for_server(&mut self, broken: Duration, refusal: Refusal) -> Result<(), Refusal> {
+        let mut refusal = refusal;
+        loop {
+            let passing = matches!(refusal.reason, Reason::NoServer | Reason::Full | Reason::Cold);
+            if !passing || self.shared().now() > broken + RESUME_WAIT {
+                return Err(refusal);
+            }
+            actix_rt::time::sleep(RESUME_LOOK).await;
+            let now = self.shared().now();
+            let next = self.context.shared.balancer().retry(now, &mut self.ticket);
+            match next {
+                Next::Retry(target) => {
+                    self.go_to(target);
+                    return Ok(());
+                }
+                Next::Stop(later) => refusal = later,
+            }
+        }
+    }
+
     /// Goes on with a broken stream at another backend server.
     async fn resume(&mut self, error: Error) -> Result<(), Refusal> {
         let mut error = error;
+        let broken = self.shared().now();
         self.events.restart();
         loop {
-            self.go_on(error)?;
+            if let Err(refusal) = self.go_on(error) {
+                self.wait_for_server(broken, refusal).await?;
+            }
             match self.exchange().await {
                 Ok((connection, response)) if response.status().is_success() => {
                     self.shared().meter.resumed.add(1);
