--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -5,10 +5,6 @@
 /// Improvements tried in a set of layers before a plan is taken as it is.
 const ROUNDS: usize = 160;
 
-/// Improvement of the busiest rank below which a step isn't worth taking, as a
-/// part of the mean load.
-const LEAST_GAIN: f64 = 0.03;
-
 /// Ranks that are tried as new holders, idlest first.
 const TARGETS: usize = 16;
 
@@ -20,12 +16,15 @@
 }
 
 /// What a change may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Most experts of a set that a rank holds.
     pub places: usize,
     /// Most experts of a set that are new to a rank.
     pub fresh: usize,
+    /// Improvement of the busiest rank below which a step isn't worth its copy,
+    /// as a part of the mean load.
+    pub gain: f64,
 }
 
 impl Assignment {
@@ -63,7 +62,7 @@
     /// ```
     /// use group::placement::even::{Assignment, Bounds};
     /// let map = Assignment::dealt(2, 1, 2);
-    /// let better = map.improved(&[vec![3.0, 1.0]], Bounds { places: 2, fresh: 1 });
+    /// let better = map.improved(&[vec![3.0, 1.0]], Bounds { places: 2, fresh: 1, gain: 0.01 });
     /// assert_eq!(better.skew(&[vec![3.0, 1.0]]), 1.25);
     /// ```
     pub fn improved(&self, demand: &[Vec<f64>], bounds: Bounds) -> Assignment {
@@ -184,7 +183,7 @@
             }
         }
         let (peak, step) = chosen?;
-        (peak + mean * LEAST_GAIN < self.loads[busiest]).then_some(step)
+        (peak + mean * bounds.gain < self.loads[busiest]).then_some(step)
     }
 
     /// The highest load among the ranks that a step touches.
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -42,8 +42,14 @@
     pub half_life: Duration,
     /// Least time between the ends of two changes.
     pub pause: Duration,
-    /// Least fall of the skew for which a change is made.
-    pub least_gain: f64,
+    /// Least fall of the skew for which a change is made, while passes are
+    /// short and while they are not.
+    pub least_gain: (f64, f64),
+    /// Least improvement for which a single expert is copied, in both cases.
+    pub step_gain: (f64, f64),
+    /// Pass from which on passes count as long: half of the pause that callers
+    /// accept between events.
+    pub long_pass: Duration,
     /// Time between a hold and the pass of the switch, for a group of one rank.
     pub lead: Duration,
     /// What each further rank adds to it.
@@ -57,7 +63,9 @@
         Tuning {
             half_life: Duration::from_millis(500),
             pause: Duration::from_millis(100),
-            least_gain: 0.15,
+            least_gain: (0.3, 0.15),
+            step_gain: (0.08, 0.03),
+            long_pass: Duration::from_millis(60),
             lead: Duration::from_millis(180),
             lead_per_rank: Duration::from_millis(2),
             least_tokens: 2000.0,
@@ -66,7 +74,7 @@
 }
 
 /// The model that the group serves, as far as maps are concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Model {
     /// Sets of layers.
     pub sets: usize,
@@ -383,9 +391,12 @@
             return;
         }
         let Some(current) = self.current_map() else { return };
-        let map = current.improved(&self.demand, self.model.bounds);
+        let long = self.pass >= self.tuning.long_pass;
+        let choose = |(short, other): (f64, f64)| if long { other } else { short };
+        let bounds = Bounds { gain: choose(self.tuning.step_gain), ..self.model.bounds };
+        let map = current.improved(&self.demand, bounds);
         let skew = (current.skew(&self.demand), map.skew(&self.demand));
-        if skew.0 - skew.1 < self.tuning.least_gain {
+        if skew.0 - skew.1 < choose(self.tuning.least_gain) {
             return;
         }
         let version = (((self.highest >> TAG_BITS) + 1) << TAG_BITS) | self.tag;
--- a/components/group/tests/switch.rs
+++ b/components/group/tests/switch.rs
@@ -13,7 +13,8 @@
 const RANKS: u32 = 3;
 const SETS: usize = 1;
 const EXPERTS: usize = 6;
-const MODEL: Model = Model { sets: SETS, experts: EXPERTS, bounds: Bounds { places: 4, fresh: 2 } };
+const MODEL: Model =
+    Model { sets: SETS, experts: EXPERTS, bounds: Bounds { places: 4, fresh: 2, gain: 0.0 } };
 
 /// A rank as the platform's protocol describes it.
 #[derive(Clone, Debug, Default)]
@@ -170,7 +171,7 @@
 }
 
 fn leader(own: u32, tag: u64) -> Leader {
-    let tuning = Tuning { least_tokens: 10.0, least_gain: 0.01, ..Tuning::default() };
+    let tuning = Tuning { least_tokens: 10.0, least_gain: (0.01, 0.01), ..Tuning::default() };
     Leader::new(tuning, MODEL, own, tag)
 }
 
@@ -290,7 +291,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let tokens = || (0..72).map(|e| if e % 12 == 0 { 900.0 } else { 100.0 }).collect::<Vec<f64>>();
     let demand = vec![tokens(), (0..72).map(|_| rng.random_range(1.0..1000.0)).collect()];
-    let bounds = Bounds { places: 8, fresh: 3 };
+    let bounds = Bounds { places: 8, fresh: 3, gain: 0.02 };
     let better = map.improved(&demand, bounds);
     assert!(map.skew(&demand) > 2.0);
     assert!(better.skew(&demand) < 1.0 + (map.skew(&demand) - 1.0) / 2.0);
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -145,6 +145,8 @@
     });
     let engines = configs.into_iter().filter_map(|config| config.pools.get(pool)?.engine);
     let experts = engines.into_iter().find_map(|engine| engine.experts)?;
-    let bounds = Bounds { places: experts.places as usize, fresh: experts.fresh as usize };
+    // The leader says which gain is worth a copy.
+    let bounds =
+        Bounds { places: experts.places as usize, fresh: experts.fresh as usize, gain: 0.0 };
     Some(Model { sets: experts.sets as usize, experts: experts.count as usize, bounds })
 }
