--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	$(CARGO) build --workspace --bins
 
 check: tools
+	.ci/wire-words
 	$(CARGO) fmt --all --check
 	$(CARGO) clippy --workspace --all-targets -- -D warnings
 
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -71,6 +71,13 @@
         assert!(sent.expect("kill runs").success(), "signal {signal} to {id}");
     }
 
+    /// Sends a signal to a process that may have ended.
+    pub fn signal_if_alive(&mut self, signal: &str) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            self.signal(signal);
+        }
+    }
+
     /// The process's id.
     pub fn id(&self) -> u32 {
         self.child.id()
