--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -63,7 +63,7 @@
     /// use group::placement::even::{Assignment, Bounds};
     /// let map = Assignment::dealt(2, 1, 2);
     /// let better = map.improved(&[vec![3.0, 1.0]], Bounds { places: 2, fresh: 1, gain: 0.01 });
-    /// assert_eq!(better.skew(&[vec![3.0, 1.0]]), 1.25);
+    /// assert_eq!(better.skew(&[vec![3.0, 1.0]]), 1.0);
     /// ```
     pub fn improved(&self, demand: &[Vec<f64>], bounds: Bounds) -> Assignment {
         let sets = self.sets.iter().zip(demand).map(|(set, tokens)| {
