Reset connections of requests that are given up; leave a frozen leader sooner

Ruled out: an unnoticed caller, the second attempt ended 4 ms after the caller left.

Tried with it: failing over within 0.7 s while a change is under way, and ordering the frozen leader's rank from another host.

--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -131,6 +131,10 @@
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
+    // A request that is given up must not arrive later, from a host that stood
+    // still or from behind a partition: a reset takes it back, an orderly end
+    // does not.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -1,7 +1,6 @@
 //! Which orders follow from what all ranks report.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::placement::even::{Assignment, Bounds};
@@ -21,7 +20,7 @@
 const PREPARE_LIMIT: Duration = Duration::from_secs(4);
 
 /// Silence of an agent under a hold after which its rank is ordered directly.
-const DIRECT_AFTER: Duration = Duration::from_millis(800);
+const DIRECT_AFTER: Duration = Duration::from_millis(500);
 
 /// Shortest pass that is reckoned with, also while the group rests.
 const PASS_MIN: Duration = Duration::from_millis(20);
@@ -102,7 +101,7 @@
     /// Have the agent beside a rank give an order.
     Order(u32, Order),
     /// Give an order to a rank whose agent is silent.
-    Direct(SocketAddr, Order),
+    Direct(u32, Order),
     /// A new map was planned.
     Planned(Plan),
     /// A map is in use on all ranks.
@@ -114,6 +113,8 @@
 struct Rank {
     status: Status,
     heard: Duration,
+    /// When its agent was last heard, if ever: reports read from afar leave it.
+    agent_heard: Option<Duration>,
     sent: Option<(Order, Duration)>,
 }
 
@@ -156,8 +157,17 @@
         }
     }
 
-    /// Takes in the status of a rank.
+    /// Takes in the status of a rank from its agent.
     pub fn hear(&mut self, now: Duration, status: Status) {
+        self.take(now, status, true);
+    }
+
+    /// Takes in the status of a rank whose agent is silent.
+    pub fn hear_from_afar(&mut self, now: Duration, status: Status) {
+        self.take(now, status, false);
+    }
+
+    fn take(&mut self, now: Duration, status: Status, from_agent: bool) {
         let report = &status.report;
         if report.epoch < self.epoch {
             return;
@@ -181,8 +191,11 @@
         if experts {
             status.experts = self.ranks.get(&rank).and_then(|known| known.status.experts.clone());
         }
-        let sent = self.ranks.remove(&rank).and_then(|known| known.sent);
-        self.ranks.insert(rank, Rank { status, heard: now, sent });
+        let known = self.ranks.remove(&rank);
+        let agent_heard =
+            if from_agent { Some(now) } else { known.as_ref().and_then(|known| known.agent_heard) };
+        let sent = known.and_then(|known| known.sent);
+        self.ranks.insert(rank, Rank { status, heard: now, agent_heard, sent });
     }
 
     fn map_of(&self, rank: u32) -> u64 {
@@ -435,8 +448,9 @@
         }
         known.sent = Some((order.clone(), now));
         let under_hold = matches!(order, Order::Arm { .. } | Order::Release { .. });
-        if under_hold && now > known.heard + DIRECT_AFTER {
-            actions.push(Action::Direct(known.status.address, order.clone()));
+        let silent = known.agent_heard.is_none_or(|heard| now > heard + DIRECT_AFTER);
+        if under_hold && silent {
+            actions.push(Action::Direct(rank, order.clone()));
         }
         actions.push(Action::Order(rank, order));
     }
--- a/components/group/src/switch/message.rs
+++ b/components/group/src/switch/message.rs
@@ -1,7 +1,5 @@
 //! What ranks report and agents tell each other.
 
-use std::net::SocketAddr;
-
 use serde::{Deserialize, Serialize};
 
 use crate::placement::even::Assignment;
@@ -99,8 +97,6 @@
 pub struct Status {
     /// The rank's newest report.
     pub report: Report,
-    /// Address of the rank.
-    pub address: SocketAddr,
     /// Experts of the map in use that the rank holds, by set; nothing if they
     /// could not be read.
     pub experts: Option<Vec<Vec<u16>>>,
--- a/components/group/tests/switch.rs
+++ b/components/group/tests/switch.rs
@@ -140,12 +140,7 @@
             sequence: 0,
         };
         let tokens = (0..EXPERTS).map(|_| self.rng.random_range(1..4000)).collect();
-        Status {
-            report,
-            address: ([127, 0, 0, 1], 1).into(),
-            experts: Some(vec![held]),
-            demand: demand.then(|| vec![tokens]),
-        }
+        Status { report, experts: Some(vec![held]), demand: demand.then(|| vec![tokens]) }
     }
 
     fn tell_all(&mut self, leader: &mut Leader) {
@@ -307,3 +302,26 @@
         assert_eq!(all.len(), 72, "each expert stays somewhere");
     }
 }
+
+/// The leader is frozen with a hold on its rank: the next one reads that rank
+/// from afar and orders it directly, however fresh the report is.
+#[test]
+fn step_releases_hold_of_frozen_leader() {
+    let mut world = World::new(1);
+    for rank in &mut world.ranks {
+        rank.prepared = 5;
+        rank.armed = Some(Armed { version: 5, step: 40 });
+    }
+    world.ranks[0].held = Some(40);
+    let mut next = leader(1, 1);
+    let now = Duration::from_secs(1);
+    for index in 1..RANKS as usize {
+        let status = world.status(index, false);
+        next.hear(now, status);
+    }
+    let status = world.status(0, false);
+    next.hear_from_afar(now, status);
+    let release = Order::Release { step: 40 };
+    let expected = [Action::Direct(0, release.clone()), Action::Order(0, release)];
+    assert_eq!(next.step(now), expected);
+}
--- a/components/rank/src/agent.rs
+++ b/components/rank/src/agent.rs
@@ -1,17 +1,18 @@
 //! The agent: polls its rank, follows or leads.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use balance::content::{Agent as Described, Content};
 use connection::Pool;
 use group::switch::{Action, Command, Leader, Message, Model, Order, Report, Status, Tuning};
+use platform::Client;
 use tables::Name;
 use tokio::sync::mpsc;
 use wire::{Frame, Link};
 
+use crate::afar;
 use crate::follow::Follow;
 use crate::own;
 use crate::settings::Settings;
@@ -38,12 +39,15 @@
 /// Time between two accounts to the leader while nothing changes.
 const STATUS: Duration = Duration::from_millis(400);
 
+/// The same while a change of the map is under way.
+const STATUS_CHANGING: Duration = Duration::from_millis(200);
+
 /// Ranks whose choices are read. The requests of so many tell the demand of
 /// all, and the leader's link carries no more.
 const SAMPLED: u32 = 16;
 
 /// Time between two words of the leader to an agent that sends its status.
-const LEADING: Duration = Duration::from_millis(200);
+const LEADING: Duration = Duration::from_millis(150);
 
 /// Time between two questions to a rank whose agent is silent.
 const REMOTE: Duration = Duration::from_millis(500);
@@ -53,6 +57,7 @@
     settings: Settings,
     started: Instant,
     pool: Rc<Pool>,
+    client: Client,
     link: Link,
     follow: Follow,
     described: BTreeMap<Name, Described>,
@@ -68,7 +73,7 @@
     pending: Option<Pending>,
     busy_until: Duration,
     due: Due,
-    remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
+    remote: mpsc::UnboundedSender<Report>,
 }
 
 /// An order whose effect has not shown yet.
@@ -95,21 +100,23 @@
     /// The agents that the store names, and the model that the group serves.
     Known(Vec<(Name, Content)>, Option<Model>),
     /// The report of a rank whose agent is silent.
-    Remote(SocketAddr, Report),
+    Remote(Report),
 }
 
 impl Agent {
     /// An agent that knows nothing yet. Remote reports go to `remote`.
     pub fn new(
         settings: Settings,
+        client: Client,
         link: Link,
-        remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
+        remote: mpsc::UnboundedSender<Report>,
     ) -> Agent {
         Agent {
             follow: Follow::new(settings.name.clone()),
             settings,
             started: Instant::now(),
             pool: Rc::default(),
+            client,
             link,
             described: BTreeMap::new(),
             model: None,
@@ -162,13 +169,20 @@
         if self.is_sampled() && is_due(&mut self.due.choices, now, CHOICES) {
             self.read_choices().await;
         }
-        for earlier in self.follow.tick(now) {
+        let changing = self.is_changing();
+        let led = self.follow.leads();
+        let earlier = self.follow.tick(now, changing);
+        if self.follow.leads() && !led {
+            log::info!(target: "leader", changing = changing; "leading, the one before is silent");
+        }
+        for earlier in earlier {
             if let Some(status) = self.status(None) {
                 self.send(&earlier, Message::Status(Box::new(status)));
             }
         }
         let fresh = self.demand.is_some() && !self.follow.leads();
-        if fresh || is_due(&mut self.due.status, now, STATUS) {
+        let interval = if changing { STATUS_CHANGING } else { STATUS };
+        if fresh || is_due(&mut self.due.status, now, interval) {
             self.tell();
         }
         if self.follow.leads() && is_due(&mut self.due.remote, now, REMOTE) {
@@ -223,6 +237,13 @@
         report.rank % report.size.div_ceil(SAMPLED).max(1) == 0
     }
 
+    /// Whether a change of the map is under way at this rank.
+    fn is_changing(&self) -> bool {
+        self.report.as_ref().is_some_and(|report| {
+            report.prepared > 0 || report.armed.is_some() || report.held.is_some()
+        })
+    }
+
     async fn read_choices(&mut self) {
         let Some(model) = self.model else { return };
         let counts = match own::choices(&self.pool, self.settings.rank, model.sets).await {
@@ -255,7 +276,7 @@
             .as_ref()
             .filter(|(epoch, version, _)| (*epoch, *version) == (report.epoch, report.map));
         let experts = experts.map(|(_, _, experts)| experts.clone());
-        Some(Status { report, address: self.settings.rank, experts, demand })
+        Some(Status { report, experts, demand })
     }
 
     /// Tells the leader how the rank is, or takes it in if this agent leads.
@@ -299,9 +320,12 @@
                 }
             }
             Event::Known(agents, model) => self.take_known(agents, model),
-            Event::Remote(address, report) => {
-                let status = Status { report, address, experts: None, demand: None };
-                self.hear_status(status);
+            Event::Remote(report) => {
+                let status = Status { report, experts: None, demand: None };
+                let now = self.now();
+                if let Some(leader) = &mut self.leader {
+                    leader.hear_from_afar(now, status);
+                }
             }
         }
     }
@@ -441,16 +465,7 @@
                     self.push(&link, Message::Command(Box::new(Command { epoch, order })));
                 }
             }
-            Action::Direct(address, order) => {
-                log::info!(target: "leader", address:% = address, order:% = own::name(&order);
-                    "agent silent, ordering its rank directly");
-                let (pool, remote) = (self.pool.clone(), self.remote.clone());
-                actix_rt::spawn(async move {
-                    if let Ok(report) = own::give(&pool, address, epoch, &order).await {
-                        let _ = remote.send((address, report));
-                    }
-                });
-            }
+            Action::Direct(rank, order) => self.order_directly(epoch, rank, order),
             Action::Planned(plan) => {
                 log::info!(target: "leader", version = plan.version, epoch = epoch,
                     skew_before = plan.skew.0, skew_after = plan.skew.1; "map planned");
@@ -466,22 +481,40 @@
 
     /// Reads the reports of ranks whose agents are silent.
     fn ask_silent(&mut self, now: Duration) {
-        let Some(leader) = &self.leader else { return };
-        if leader.silent(now).is_empty() {
+        let (Some(leader), Some(report)) = (&self.leader, &self.report) else { return };
+        let silent = leader.silent(now);
+        if silent.is_empty() {
             return;
         }
-        for (name, agent) in &self.described {
-            let heard = self.heard.get(name).copied().unwrap_or_default();
-            if *name == self.settings.name || now < heard + REMOTE {
-                continue;
-            }
-            let (pool, remote, address) = (self.pool.clone(), self.remote.clone(), agent.address);
-            actix_rt::spawn(async move {
-                if let Ok(report) = own::report(&pool, address).await {
-                    let _ = remote.send((address, report));
+        let (pool, remote, client) = (self.pool.clone(), self.remote.clone(), self.client.clone());
+        let group = report.group.clone();
+        actix_rt::spawn(async move {
+            let addresses = afar::addresses(&client, &group).await;
+            for rank in silent {
+                let Some(address) = addresses.get(&rank) else { continue };
+                match own::report(&pool, *address).await {
+                    Ok(report) => drop(remote.send(report)),
+                    Err(error) => log::info!(target: "leader", rank = rank, address:% = address,
+                        error:% = error; "rank of a silent agent not read"),
                 }
-            });
-        }
+            }
+        });
+    }
+
+    /// Gives an order to a rank whose agent is silent.
+    fn order_directly(&mut self, epoch: u64, rank: u32, order: Order) {
+        let Some(report) = &self.report else { return };
+        log::info!(target: "leader", rank = rank, order:% = own::name(&order);
+            "agent silent, ordering its rank directly");
+        let (pool, remote, client) = (self.pool.clone(), self.remote.clone(), self.client.clone());
+        let group = report.group.clone();
+        actix_rt::spawn(async move {
+            let addresses = afar::addresses(&client, &group).await;
+            let Some(address) = addresses.get(&rank) else { return };
+            if let Ok(report) = own::give(&pool, *address, epoch, &order).await {
+                let _ = remote.send(report);
+            }
+        });
     }
 }
 
--- a/components/rank/src/follow.rs
+++ b/components/rank/src/follow.rs
@@ -7,6 +7,10 @@
 /// Silence after which the next agent is tried.
 const PATIENCE: Duration = Duration::from_millis(1600);
 
+/// The same while a change of the map is under way: the silent leader may hold
+/// the group.
+const PATIENCE_CHANGING: Duration = Duration::from_millis(700);
+
 /// Time between two questions whether an agent earlier in order is back.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -17,7 +21,7 @@
 /// let mut follow = rank::Follow::new("b".into());
 /// follow.set_agents(Duration::ZERO, vec!["a".into(), "b".into()]);
 /// assert_eq!(follow.leader(), Some(&"a".into()));
-/// follow.tick(Duration::from_secs(2));
+/// follow.tick(Duration::from_secs(2), false);
 /// assert!(follow.leads());
 /// ```
 #[derive(Debug)]
@@ -69,11 +73,12 @@
 
     /// Goes on to the next agent if the present one is silent. Returns the
     /// agents earlier in order that should be asked now.
-    pub fn tick(&mut self, now: Duration) -> Vec<Name> {
+    pub fn tick(&mut self, now: Duration, changing: bool) -> Vec<Name> {
         if self.agents.is_empty() {
             return Vec::new();
         }
-        if !self.leads() && now > self.heard + PATIENCE {
+        let patience = if changing { PATIENCE_CHANGING } else { PATIENCE };
+        if !self.leads() && now > self.heard + patience {
             self.index = (self.index + 1) % self.agents.len();
             self.heard = now;
         }
