--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer.rs
@@ -418,7 +418,10 @@
         match outcome {
             Outcome::Misdirected => member.misdirect(),
             Outcome::Refused | Outcome::Expired => {}
-            Outcome::Unconnected | Outcome::Failed => member.fail(now),
+            Outcome::Silent if member.server.group.is_some() => {
+                // All ranks of a group stand still together.
+            }
+            Outcome::Unconnected | Outcome::Failed | Outcome::Silent => member.fail(now),
             Outcome::Stale => self.crashes.add(now, ticket.fingerprint),
             Outcome::Broken => {
                 member.fail(now);
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -83,8 +83,10 @@
     Broken,
     /// A connection that had been idle ended when it was used.
     Stale,
-    /// The server's own failure, or its silence.
+    /// The server's own failure, as an answer.
     Failed,
+    /// Nothing came for too long.
+    Silent,
     /// Nothing came until the deadline.
     Expired,
 }
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -8,13 +8,14 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-const OUTCOMES: [Outcome; 7] = [
+const OUTCOMES: [Outcome; 8] = [
     Outcome::Unconnected,
     Outcome::Refused,
     Outcome::Misdirected,
     Outcome::Broken,
     Outcome::Stale,
     Outcome::Failed,
+    Outcome::Silent,
     Outcome::Expired,
 ];
 
@@ -35,6 +36,7 @@
 #[case::broken(Outcome::Broken, false)]
 #[case::stale(Outcome::Stale, false)]
 #[case::failed(Outcome::Failed, false)]
+#[case::silent(Outcome::Silent, false)]
 fn fail_once(#[case] outcome: Outcome, #[case] again: bool) {
     let mut balancer = with_desk(3);
     let (mut ticket, _) = sent(&mut balancer, ms(2000), "/once/book");
@@ -252,3 +254,36 @@
     let mut short = balancer.admit(ms(0), &ask("/stream/n")).unwrap();
     assert!(balancer.choose(ms(0), &mut short).unwrap_err().retry_after.unwrap() <= ms(4000) / 3);
 }
+
+/// A rank group stands still for seconds, as while a host that holds it is
+/// frozen: that is no fault of the ranks, and work goes on with the group.
+#[test]
+fn fail_silent_ranks_are_not_paused() {
+    let mut balancer = ready(&[("r1", rank(1, true)), ("r2", rank(2, true))]);
+    for step in 0..6 {
+        let now = ms(2000 + step);
+        let (mut ticket, server) = sent(&mut balancer, now, "/stream/notes");
+        balancer.fail(now, &mut ticket, Outcome::Silent);
+        balancer.release(&server);
+    }
+    assert!(!matches!(
+        balancer
+            .admit(ms(2010), &ask("/stream/notes"))
+            .map(|mut ticket| { balancer.choose(ms(2010), &mut ticket) }),
+        Ok(Err(balance::Refusal { reason: Reason::NoServer, .. }))
+    ));
+}
+
+#[test]
+fn fail_silent_plain_servers_are_paused() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1)), ("d2", server("desk", "a", 2))]);
+    for _ in 0..2 {
+        let mut ticket = balancer.admit(ms(2000), &ask("/safe/scan")).unwrap();
+        ticket.tried.push("d2".into());
+        balancer.choose(ms(2000), &mut ticket).unwrap();
+        balancer.fail(ms(2000), &mut ticket, Outcome::Silent);
+    }
+    for _ in 0..4 {
+        assert_eq!(sent(&mut balancer, ms(2010), "/safe/scan").1, "d2");
+    }
+}
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -65,7 +65,8 @@
             Error::Misdirected => Outcome::Misdirected,
             Error::Expired => Outcome::Expired,
             Error::Stale => Outcome::Stale,
-            Error::Silent | Error::Failed { .. } => Outcome::Failed,
+            Error::Failed { .. } => Outcome::Failed,
+            Error::Silent => Outcome::Silent,
             _ => Outcome::Broken,
         }
     }
