--- a/components/balance/src/balancer.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -1,5 +1,8 @@
 //! The decisions of an entry: admission, choice, retries and what it believes.
 
+mod peers;
+mod retry;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,11 +15,11 @@
 use crate::budget::Budget;
 use crate::choice::{self, Need};
 use crate::config::{Config, Unmatched};
-use crate::content::{Kind, Peer};
+use crate::content::Kind;
 use crate::crash::Register;
-use crate::gossip::{Heartbeat, Message, Work};
+use crate::gossip::Work;
 use crate::member::Member;
-use crate::ticket::{Ask, Next, Outcome, Reason, Refusal, Target, Ticket};
+use crate::ticket::{Ask, Reason, Refusal, Target, Ticket};
 use crate::view::{Update, View};
 
 /// Share of the platform's retry budget that is used. The rest covers entries
@@ -30,10 +33,6 @@
 /// entries have together.
 const PEER_LIFETIME: Duration = Duration::from_secs(8);
 
-/// Time that an entry may be behind another before it asks that one: the
-/// store's own answer is usually on its way.
-const PULL_AFTER: Duration = Duration::from_millis(120);
-
 /// Entries that follow the store. More than one, so that the loss of one
 /// delays nothing.
 const FOLLOWERS: usize = 2;
@@ -45,25 +44,9 @@
 /// Silence of an entry after which it no longer counts as following.
 const HEARD_LIFETIME: Duration = Duration::from_millis(700);
 
-/// Least time between two questions about the same kind.
-const PULL_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Time between two heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
-/// Bounds of the wait that a refused caller is told when servers are full or
-/// cold, in seconds: the time in which running requests end, spread so that
-/// callers don't return together.
-const RETRY_AFTER: (f64, f64) = (0.3, 1.2);
-
-/// The same when no server of the pool is usable: a broken rank group takes
-/// about two seconds to stall, restart and form.
-const RETRY_AFTER_OUTAGE: (f64, f64) = (1.4, 2.6);
-
-/// Part of the caller's remaining time that a wait may take. From the
-/// platform's protocol: callers wait up to a third.
-const RETRY_AFTER_SHARE: f64 = 0.32;
-
 /// Least time left for which an attempt is worth sending.
 const WORTH_SENDING: Duration = Duration::from_millis(20);
 
@@ -360,96 +343,6 @@
         }
     }
 
-    /// An attempt ended with a sound answer.
-    pub fn succeed(&mut self, ticket: &Ticket) {
-        if let Some(member) = ticket.tried.last().and_then(|name| self.members.get_mut(name)) {
-            member.succeed();
-        }
-        self.crashes.clear(ticket.fingerprint);
-    }
-
-    /// An attempt failed: what follows.
-    pub fn fail(&mut self, now: Duration, ticket: &mut Ticket, outcome: Outcome) -> Next {
-        self.judge(now, ticket, outcome);
-        let ran =
-            !matches!(outcome, Outcome::Unconnected | Outcome::Refused | Outcome::Misdirected);
-        ticket.may_have_run |= ran;
-        let reason = self.reason_to_stop(now, ticket, outcome);
-        if let Some(reason) = reason {
-            return Next::Stop(self.refuse(now, ticket, reason));
-        }
-        self.retry(now, ticket)
-    }
-
-    /// Another attempt for a ticket whose last one failed.
-    pub fn retry(&mut self, now: Duration, ticket: &mut Ticket) -> Next {
-        if now + WORTH_SENDING >= ticket.deadline {
-            return Next::Stop(self.refuse(now, ticket, Reason::Expired));
-        }
-        match self.pick(now, ticket) {
-            Ok(server) => {
-                let pool = ticket.pool.clone();
-                if !self.budget(now, &pool).spend(now) {
-                    return Next::Stop(self.refuse(now, ticket, Reason::Budget));
-                }
-                Next::Retry(self.send(now, ticket, server))
-            }
-            Err(reason) => Next::Stop(self.refuse(now, ticket, reason)),
-        }
-    }
-
-    fn reason_to_stop(&self, now: Duration, ticket: &Ticket, outcome: Outcome) -> Option<Reason> {
-        if outcome == Outcome::Expired || now + WORTH_SENDING >= ticket.deadline {
-            return Some(Reason::Expired);
-        }
-        if ticket.may_have_run && !ticket.kind.is_repeatable() {
-            return Some(Reason::MayHaveRun);
-        }
-        if self.crashes.is_barred(now, ticket.fingerprint) {
-            return Some(Reason::Crashes);
-        }
-        (ticket.attempts_left == 0).then_some(Reason::Attempts)
-    }
-
-    /// What an outcome says of the server.
-    fn judge(&mut self, now: Duration, ticket: &Ticket, outcome: Outcome) {
-        let Some(name) = ticket.tried.last() else { return };
-        let Some(member) = self.members.get_mut(name) else { return };
-        match outcome {
-            Outcome::Misdirected => member.misdirect(),
-            Outcome::Refused | Outcome::Expired => {}
-            Outcome::Silent if member.server.group.is_some() => {
-                // All ranks of a group stand still together.
-            }
-            Outcome::Unconnected | Outcome::Failed | Outcome::Silent => member.fail(now),
-            Outcome::Stale => self.crashes.add(now, ticket.fingerprint),
-            Outcome::Broken => {
-                member.fail(now);
-                self.crashes.add(now, ticket.fingerprint);
-            }
-        }
-    }
-
-    /// The final answer for a ticket. Only what certainly has not run is told
-    /// so and when to come back.
-    fn refuse(&mut self, now: Duration, ticket: &Ticket, reason: Reason) -> Refusal {
-        if ticket.may_have_run {
-            let status = if reason == Reason::Expired { 504 } else { 502 };
-            return Refusal { reason, status, retry_after: None };
-        }
-        self.refuse_not_run(reason, Some(ticket.deadline.saturating_sub(now)))
-    }
-
-    fn refuse_not_run(&mut self, reason: Reason, left: Option<Duration>) -> Refusal {
-        let outage = reason == Reason::NoServer;
-        let (least, most) = if outage { RETRY_AFTER_OUTAGE } else { RETRY_AFTER };
-        let mut wait = Duration::from_secs_f64(self.rng.random_range(least..most));
-        if let Some(left) = left {
-            wait = wait.min(left.mul_f64(RETRY_AFTER_SHARE));
-        }
-        Refusal { reason, status: 503, retry_after: Some(wait) }
-    }
-
     fn budget(&mut self, now: Duration, pool: &Name) -> &mut Budget {
         let limits = self.options.limits;
         let window = limits.retry_window.as_secs_f64().max(1.0);
@@ -462,130 +355,6 @@
         budget
     }
 
-    /// The number of entries that share limits, this one included.
-    pub fn entries(&self, now: Duration) -> usize {
-        let live = self.neighbours.values().filter(|other| now < other.heard + PEER_LIFETIME);
-        1 + live.count()
-    }
-
-    /// What this entry writes about itself to the store.
-    pub fn self_description(&self) -> Peer {
-        Peer { link: self.options.link.clone(), zone: self.options.zone.clone() }
-    }
-
-    /// Takes in a message of another entry. Returns messages to send, with the
-    /// links they go to.
-    pub fn hear(
-        &mut self,
-        now: Duration,
-        from: &Name,
-        incarnation: u64,
-        link: &Name,
-        message: Message,
-    ) -> Vec<(Name, Message)> {
-        if *from == self.options.name || !self.is_current(from, incarnation) {
-            return Vec::new();
-        }
-        let store_heard = match &message {
-            Message::Heartbeat(heartbeat) => heartbeat
-                .store_age_ms
-                .map(|age| now.saturating_sub(Duration::from_millis(age.into()))),
-            _ => self.neighbours.get(from).and_then(|known| known.store_heard),
-        };
-        let lost = |heard: Option<Duration>| heard.is_none_or(|heard| now > heard + STORE_LIFETIME);
-        let known = self.neighbours.get(from).map(|known| known.store_heard);
-        if known.is_some_and(lost) && !lost(store_heard) && lost(self.store_heard) {
-            self.note_return(now);
-        }
-        let neighbour = Neighbour { link: link.clone(), heard: now, incarnation, store_heard };
-        self.neighbours.insert(from.clone(), neighbour);
-        match message {
-            Message::Heartbeat(heartbeat) => self.take_heartbeat(now, from, link, heartbeat),
-            Message::Pull(kind, since) => {
-                vec![(link.clone(), Message::Rows(kind, self.view.delta(kind, since)))]
-            }
-            Message::Rows(kind, delta) => {
-                self.learn(now, Update::Changes { kind, delta });
-                Vec::new()
-            }
-        }
-    }
-
-    /// Whether a frame comes from the newest process of its host that is known.
-    fn is_current(&self, from: &Name, incarnation: u64) -> bool {
-        self.neighbours.get(from).is_none_or(|known| incarnation >= known.incarnation)
-    }
-
-    fn take_heartbeat(
-        &mut self,
-        now: Duration,
-        from: &Name,
-        link: &Name,
-        heartbeat: Heartbeat,
-    ) -> Vec<(Name, Message)> {
-        if heartbeat.leaving {
-            self.neighbours.remove(from);
-        }
-        let loads: BTreeMap<Name, Work> = heartbeat.load.into_iter().collect();
-        for (name, member) in &mut self.members {
-            member.hear(now, from.clone(), loads.get(name).copied());
-        }
-        self.crashes.hear(now, from, &heartbeat.crashes);
-        let mut pulls = Vec::new();
-        for (kind, revision) in heartbeat.revisions {
-            if self.should_pull(now, kind, revision) {
-                let since = self.view.revision(kind);
-                pulls.push((link.clone(), Message::Pull(kind, since)));
-            }
-        }
-        pulls
-    }
-
-    /// Whether another entry's revision is so far ahead that it is asked.
-    fn should_pull(&mut self, now: Duration, kind: Kind, revision: u64) -> bool {
-        if revision <= self.view.revision(kind) {
-            self.behind.remove(&kind);
-            return false;
-        }
-        let follows = self.follows_store(now);
-        let behind = self.behind.entry(kind).or_insert(Behind { since: now, asked: None });
-        let patient = follows && self.view.is_known(kind) && now < behind.since + PULL_AFTER;
-        if patient || behind.asked.is_some_and(|asked| now < asked + PULL_INTERVAL) {
-            return false;
-        }
-        behind.asked = Some(now);
-        true
-    }
-
-    /// The links of all other entries that are known.
-    pub fn links(&self) -> Vec<Name> {
-        let mut links: Vec<Name> =
-            self.neighbours.values().map(|other| other.link.clone()).collect();
-        links.extend(self.view.peers().map(|(_, peer)| peer.link.clone()));
-        if self.neighbours.is_empty() {
-            links.extend(self.options.seeds.iter().cloned());
-        }
-        links.sort();
-        links.dedup();
-        links.retain(|link| *link != self.options.link);
-        links
-    }
-
-    /// What the other entries are told.
-    pub fn heartbeat(&self, now: Duration) -> Message {
-        let revisions = Kind::ALL.iter().map(|kind| (*kind, self.view.revision(*kind))).collect();
-        let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
-        let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
-        let age = self.store_heard.map(|heard| now.saturating_sub(heard).as_millis());
-        Message::Heartbeat(Heartbeat {
-            revisions,
-            load,
-            crashes: self.crashes.told(),
-            store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
-            leaving: self.leaving,
-        })
-    }
-
     /// Drops what has grown old.
     pub fn tick(&mut self, now: Duration) {
         if self.view.has_lapsed() {
