End given-up connections in order first and reset them later

Ruled out: unnoticed callers, the second attempt of the same request ended 3 ms after its caller left.

--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::Socket;
 use tokio::net::TcpStream;
 
 /// How a connection fails.
@@ -46,6 +47,11 @@
 /// server states none.
 const IDLE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time between the orderly end of a connection and its reset: a lost packet
+/// is sent again by then, and a caller's leaving has to be known at the backend
+/// server within half a second.
+const RESET_AFTER: Duration = Duration::from_millis(350);
+
 /// Part of the stated idle time that is used.
 const IDLE_SHARE: f64 = 0.6;
 
@@ -57,13 +63,30 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    // A second handle of the socket, to end it in two steps.
+    socket: Option<Socket>,
     idle_limit: Duration,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        // Closes the socket, which stops the backend server's work.
         self.driver.abort();
+        if let Some(socket) = self.socket.take() {
+            end(socket);
+        }
+    }
+}
+
+/// Ends a socket in order, which is repeated if it is lost, and resets it a
+/// little later, which takes back what has not arrived.
+fn end(socket: Socket) {
+    // Fails if the other side was faster.
+    let _ = socket.shutdown(Shutdown::Write);
+    if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+        runtime.spawn(async move {
+            tokio::time::sleep(RESET_AFTER).await;
+            drop(socket);
+        });
     }
 }
 
@@ -119,13 +142,14 @@
     if let Err(error) = tune(&stream) {
         log::warn!(target: "backend", address:%, error:%; "socket options refused");
     }
+    let socket = socket2::SockRef::from(&stream).try_clone().ok();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| Error::Unconnected)?;
     let driver = actix_rt::spawn(async move {
         // How it ended shows at the request that was under way.
         let _ = connection.await;
     });
-    Ok(Connection { address, sender, driver, idle_limit: IDLE_LIMIT })
+    Ok(Connection { address, sender, driver, socket, idle_limit: IDLE_LIMIT })
 }
 
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
