Read the change once more: one end for answered requests, no dead code, no second form

Member::pause and Bounded::dropped had no caller. Ruled out: putting SIGHUP of the gateway onto daemon::hangups, which has no place for the look at the file. Behaviour is meant to stay; unit tests of the crates, the gateway's and the agents' cases and make check passed.

--- a/components/balance/src/member.rs
+++ b/components/balance/src/member.rs
@@ -138,11 +138,6 @@
         }
     }
 
-    /// Pauses the server for a time.
-    pub fn pause(&mut self, until: Duration) {
-        self.paused_until = self.paused_until.max(until);
-    }
-
     /// Notes that another server answers at the address.
     pub fn misdirect(&mut self) {
         self.misdirected = true;
--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -4,7 +4,7 @@
 //! entries vanished while the store was away are kept for a while after its
 //! return, since a live server enters itself again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     tables: BTreeMap<Kind, Rows>,
-    known: BTreeMap<Kind, bool>,
+    known: BTreeSet<Kind>,
     // Servers whose rows vanished around an outage of the store, with the time
     // until which they are still used.
     lapsed: BTreeMap<Name, (Server, Duration)>,
@@ -63,7 +63,7 @@
 
     /// Whether a kind was ever listed.
     pub fn is_known(&self, kind: Kind) -> bool {
-        self.known.get(&kind).copied().unwrap_or_default()
+        self.known.contains(&kind)
     }
 
     /// Notes that the store answers again after an outage.
@@ -79,7 +79,7 @@
                 if revision < self.revision(kind) {
                     return false;
                 }
-                self.known.insert(kind, true);
+                self.known.insert(kind);
                 self.tables.entry(kind).or_default().replace(revision, rows)
             }
             Update::Changes { kind, delta } => {
@@ -87,7 +87,7 @@
                 let table = self.tables.entry(kind).or_default();
                 let changed = table.merge(delta);
                 if whole && table.revision() > 0 {
-                    self.known.insert(kind, true);
+                    self.known.insert(kind);
                 }
                 changed
             }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -177,10 +177,10 @@
             let error = match self.exchange().await {
                 Ok((connection, response)) => match self.take(connection, response).await {
                     Ok(Taken::Stream(head)) => return Reply::Stream(head, self),
-                    Ok(Taken::Whole(answer)) => match self.judge(answer) {
-                        Ok(answer) => return Reply::Whole(answer),
-                        Err(refusal) => return Reply::Refused(refusal),
-                    },
+                    Ok(Taken::Whole(answer)) => {
+                        self.succeed();
+                        return Reply::Whole(answer);
+                    }
                     Ok(Taken::Again) => continue,
                     Err(error) => error,
                 },
@@ -193,13 +193,12 @@
         }
     }
 
-    /// A whole answer: the end of the request.
-    fn judge(&mut self, answer: Answer) -> Result<Answer, Refusal> {
+    /// The answer is whole: the end of the request.
+    fn succeed(&mut self) {
         self.shared().balancer().succeed(&self.ticket);
         self.finish("answered", None);
         let age = self.shared().now() - self.ticket.arrived;
         self.shared().meter.whole.record(age.as_secs_f64());
-        Ok(answer)
     }
 
     fn finish(&mut self, outcome: &'static str, refusal: Option<Refusal>) {
@@ -365,13 +364,10 @@
                     return Some(Ok(events));
                 }
                 Ok(None) => {
-                    self.shared().balancer().succeed(&self.ticket);
                     if let Some((connection, _)) = self.source.take() {
                         self.context.pool.put(connection);
                     }
-                    self.finish("answered", None);
-                    let age = self.shared().now() - self.ticket.arrived;
-                    self.shared().meter.whole.record(age.as_secs_f64());
+                    self.succeed();
                     return None;
                 }
                 Err(error) => {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the threads of an entry share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,6 @@
     balancer: Mutex<Balancer>,
     started: Instant,
     open: AtomicUsize,
-    leaving: AtomicBool,
     /// The instruments.
     pub meter: Meter,
 }
@@ -25,7 +24,6 @@
             balancer: Mutex::new(balancer),
             started: Instant::now(),
             open: AtomicUsize::new(0),
-            leaving: AtomicBool::new(false),
             meter,
         }
     }
@@ -43,12 +41,11 @@
 
     /// Whether the process is about to stop.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.balancer().is_leaving()
     }
 
     /// The process is about to stop.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
         self.balancer().leave();
     }
 
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader.rs
@@ -253,11 +253,15 @@
 
     /// Ranks of which nothing was heard for a while, or ever.
     pub fn silent(&self, now: Duration) -> Vec<u32> {
-        let size = self.ranks.values().map(|rank| rank.status.report.size).max().unwrap_or(0);
         let quiet = |rank: &u32| {
             self.ranks.get(rank).is_none_or(|known| now > known.heard + STATUS_LIFETIME)
         };
-        (0..size).filter(quiet).collect()
+        (0..self.size()).filter(quiet).collect()
+    }
+
+    /// Number of ranks, as the known ones report it; 0 if none is known.
+    fn size(&self) -> u32 {
+        self.ranks.values().map(|rank| rank.status.report.size).max().unwrap_or(0)
     }
 
     /// Whether a change is under way.
@@ -267,14 +271,14 @@
 
     /// What to do now.
     pub fn step(&mut self, now: Duration) -> Vec<Action> {
-        let Some(size) = self.ranks.values().map(|rank| rank.status.report.size).max() else {
-            return Vec::new();
-        };
-        if self.ranks.len() < size as usize || !self.ranks.values().all(|r| r.status.report.open) {
+        if self.ranks.is_empty()
+            || self.ranks.len() < self.size() as usize
+            || !self.ranks.values().all(|r| r.status.report.open)
+        {
             return Vec::new();
         }
         let mut actions = Vec::new();
-        let silent = self.ranks.values().any(|rank| now > rank.heard + STATUS_LIFETIME);
+        let silent = !self.silent(now).is_empty();
         let held = self.held();
         if !held.is_empty() {
             self.finish(now, &held, &mut actions);
--- a/components/telemetry/src/json_log.rs
+++ b/components/telemetry/src/json_log.rs
@@ -92,11 +92,6 @@
         });
         Bounded { encoder: JsonEncoder::new(), queue }
     }
-
-    /// Lines dropped since the last write.
-    pub fn dropped(&self) -> u64 {
-        self.queue.dropped.load(Ordering::Relaxed)
-    }
 }
 
 impl Append for Bounded {
