Hold a pass on another rank and abandon undecided changes of the map

Cause: a leader held the group on its own rank. Nobody could tell either whether a rank had been armed.

Now the holder is the rank of another host, ordered directly; it is armed first, by the leader that made the change, and decides. A change whose holder is not armed is abandoned by any leader: the holder copies a version that is used nowhere (refused to armed ranks, and it refuses late arms for the old one), then the hold is released. A change that another leader's copy made impossible is undone, the holder last.

--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -40,6 +40,28 @@
         Assignment { sets: vec![set; sets] }
     }
 
+    /// An assignment in which a rank keeps what it holds, by set of layers, and
+    /// the other ranks share the rest in turn.
+    ///
+    /// ```
+    /// use group::placement::even::Assignment;
+    /// let map = Assignment::around(1, &[vec![0, 3]], 3, 6);
+    /// assert_eq!(map.sets[0], vec![vec![1, 4], vec![0, 3], vec![2, 5]]);
+    /// ```
+    pub fn around(rank: usize, held: &[Vec<u16>], ranks: usize, experts: usize) -> Assignment {
+        let others: Vec<usize> = (0..ranks).filter(|other| *other != rank).collect();
+        let set = |held: &Vec<u16>| {
+            let mut set = vec![Vec::new(); ranks];
+            let rest = (0..experts as u16).filter(|expert| !held.contains(expert));
+            for (expert, other) in rest.zip(others.iter().cycle()) {
+                set[*other].push(expert);
+            }
+            set[rank].clone_from(held);
+            set
+        };
+        Assignment { sets: held.iter().map(set).collect() }
+    }
+
     /// The load of the busiest rank, summed over the sets, against that of
     /// evenly spread tokens. 1 is the best possible.
     ///
--- a/components/group/src/switch/leader.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -1,10 +1,12 @@
 //! Which orders follow from what all ranks report.
 
+mod settle;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::placement::even::{Assignment, Bounds};
-use crate::switch::{Armed, Order, Report, Status};
+use crate::switch::{Order, Report, Status};
 
 /// Age at which a rank's status no longer counts.
 const STATUS_LIFETIME: Duration = Duration::from_millis(1300);
@@ -19,7 +21,8 @@
 /// armed or held before that, so giving up is harmless.
 const PREPARE_LIMIT: Duration = Duration::from_secs(4);
 
-/// Silence of an agent under a hold after which its rank is ordered directly.
+/// Silence of an agent under a hold after which its rank is ordered directly,
+/// and a change that is not decided yet is abandoned.
 const DIRECT_AFTER: Duration = Duration::from_millis(500);
 
 /// Shortest pass that is reckoned with, also while the group rests.
@@ -93,6 +96,10 @@
     /// Skew before and after, for the demand at the time.
     pub skew: (f64, f64),
     begun: Duration,
+    /// The rank that holds the group for this change.
+    holder: Option<u32>,
+    /// Passes at which the holder was told to hold, for this change alone.
+    holds: Vec<u64>,
 }
 
 /// What a leader wants done.
@@ -100,7 +107,7 @@
 pub enum Action {
     /// Have the agent beside a rank give an order.
     Order(u32, Order),
-    /// Give an order to a rank whose agent is silent.
+    /// Give an order to a rank without its agent.
     Direct(u32, Order),
     /// A new map was planned.
     Planned(Plan),
@@ -108,6 +115,9 @@
     Done(u64),
     /// A map was given up before any rank was armed.
     Dropped(u64),
+    /// A hold is abandoned: a rank copies a version that is used nowhere, so
+    /// that it can't be armed for the one that it has ready.
+    Fenced(u32, u64),
 }
 
 struct Rank {
@@ -132,6 +142,8 @@
     last_end: Duration,
     highest: u64,
     last_hold: u64,
+    /// Versions that only keep a rank from being armed, by rank.
+    fences: BTreeMap<u32, u64>,
     pass: Duration,
     paced: Option<(u64, Duration)>,
 }
@@ -152,6 +164,7 @@
             last_end: Duration::ZERO,
             highest: 0,
             last_hold: 0,
+            fences: BTreeMap::new(),
             pass: PASS_FIRST,
             paced: None,
         }
@@ -175,6 +188,12 @@
         if report.epoch > self.epoch {
             self.begin_epoch(report.epoch);
         }
+        if self.ranks.is_empty() {
+            // An earlier leader may have held passes up to here: its late
+            // orders for them must not meet a hold of this leader.
+            let ahead = self.lead(status.report.size as usize, PASS_MIN);
+            self.last_hold = self.last_hold.max(status.report.step + ahead);
+        }
         self.note_versions(&status.report);
         if status.report.rank == self.own {
             self.note_pace(now, status.report.step);
@@ -230,6 +249,7 @@
         self.ranks.clear();
         self.plan = None;
         self.last_hold = 0;
+        self.fences.clear();
         self.paced = None;
     }
 
@@ -251,6 +271,11 @@
         self.epoch
     }
 
+    /// The newest report of a rank.
+    pub fn report(&self, rank: u32) -> Option<&Report> {
+        self.ranks.get(&rank).map(|known| &known.status.report)
+    }
+
     /// Ranks of which nothing was heard for a while, or ever.
     pub fn silent(&self, now: Duration) -> Vec<u32> {
         let quiet = |rank: &u32| {
@@ -271,63 +296,35 @@
 
     /// What to do now.
     pub fn step(&mut self, now: Duration) -> Vec<Action> {
-        if self.ranks.is_empty()
-            || self.ranks.len() < self.size() as usize
-            || !self.ranks.values().all(|r| r.status.report.open)
-        {
-            return Vec::new();
-        }
         let mut actions = Vec::new();
-        let silent = !self.silent(now).is_empty();
+        if !self.ranks.values().all(|rank| rank.status.report.open) {
+            return actions;
+        }
         let held = self.held();
         if !held.is_empty() {
-            self.finish(now, &held, &mut actions);
-        } else if !silent && self.ranks.values().all(|rank| rank.status.report.armed.is_none()) {
+            for (rank, step) in held {
+                self.settle(now, rank, step, &mut actions);
+            }
+            return actions;
+        }
+        let armed = self.ranks.values().any(|rank| rank.status.report.armed.is_some());
+        if self.is_complete() && self.silent(now).is_empty() && !armed {
             self.advance(now, &mut actions);
         }
         actions
     }
 
+    /// Whether something was heard of each rank.
+    fn is_complete(&self) -> bool {
+        !self.ranks.is_empty() && self.ranks.len() >= self.size() as usize
+    }
+
     /// The ranks that hold the group, with the passes.
     fn held(&self) -> Vec<(u32, u64)> {
         let held = |(rank, known): (&u32, &Rank)| Some((*rank, known.status.report.held?));
         self.ranks.iter().filter_map(held).collect()
     }
 
-    /// The one map that all ranks have ready and none uses yet.
-    fn common(&self) -> Option<u64> {
-        let mut reports = self.ranks.values().map(|rank| &rank.status.report);
-        let version = reports.next()?.prepared;
-        let fits = |rank: &Rank| {
-            let report = &rank.status.report;
-            report.prepared == version && report.map < version
-        };
-        (version > 0 && self.ranks.values().all(fits)).then_some(version)
-    }
-
-    /// A pass is held: arm all ranks for it, then release it. Where the ranks
-    /// have no map in common, no rank was ever armed for the pass.
-    fn finish(&mut self, now: Duration, held: &[(u32, u64)], actions: &mut Vec<Action>) {
-        let armed = self.ranks.values().find_map(|rank| rank.status.report.armed);
-        let last = held.iter().map(|(_, step)| *step).max().unwrap_or_default();
-        let target = armed.map_or(last, |armed| armed.step);
-        if let Some(version) = armed.map(|armed| armed.version).or_else(|| self.common()) {
-            let goal = Armed { version, step: target };
-            let lacks = |rank: &&Rank| rank.status.report.armed != Some(goal);
-            let missing: Vec<u32> =
-                self.ranks.values().filter(lacks).map(|rank| rank.status.report.rank).collect();
-            for rank in &missing {
-                self.order(now, *rank, Order::Arm { version, step: target }, actions);
-            }
-            if !missing.is_empty() {
-                return;
-            }
-        }
-        for (rank, step) in held {
-            self.order(now, *rank, Order::Release { step: *step }, actions);
-        }
-    }
-
     /// Nothing is held or armed: goes on with the plan, or makes one.
     fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(plan) = &self.plan else {
@@ -348,9 +345,8 @@
         }
         if reports().all(|report| report.prepared == version) {
             let step = reports().map(|report| report.step).max().unwrap_or_default();
-            let step = (step + self.lead(self.ranks.len())).max(self.last_hold + 1);
-            let holder = if self.ranks.contains_key(&self.own) { self.own } else { 0 };
-            self.order_hold(now, holder, step, actions);
+            let ahead = self.lead(self.ranks.len(), self.pass.max(PASS_MIN));
+            self.order_hold(now, (step + ahead).max(self.last_hold + 1), actions);
             return;
         }
         let overtaken = reports().any(|report| report.prepared > version);
@@ -382,25 +378,11 @@
 
     /// Passes between the last report and the pass of a switch: enough for all
     /// ranks to be armed before the pass is due, so that nobody waits.
-    fn lead(&self, ranks: usize) -> u64 {
+    fn lead(&self, ranks: usize, pass: Duration) -> u64 {
         let wanted = self.tuning.lead + self.tuning.lead_per_rank * ranks as u32;
-        let pass = self.pass.max(PASS_MIN);
         (wanted.as_secs_f64() / pass.as_secs_f64()).ceil() as u64 + 1
     }
 
-    /// Holds a pass. A hold that came too late is placed anew further on.
-    fn order_hold(&mut self, now: Duration, holder: u32, step: u64, actions: &mut Vec<Action>) {
-        let Some(rank) = self.ranks.get(&holder) else { return };
-        if let Some((Order::Hold { step: held }, at)) = &rank.sent
-            && rank.status.report.step < *held
-            && now < *at + REPEAT
-        {
-            return;
-        }
-        self.last_hold = step;
-        self.order(now, holder, Order::Hold { step }, actions);
-    }
-
     fn make_plan(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.decay(now);
         let tokens: f64 = self.demand.iter().flatten().sum::<f64>() / self.model.sets.max(1) as f64;
@@ -416,13 +398,18 @@
         if skew.0 - skew.1 < choose(self.tuning.least_gain) {
             return;
         }
-        let version = (((self.highest >> TAG_BITS) + 1) << TAG_BITS) | self.tag;
-        let plan = Plan { version, map, skew, begun: now };
+        let version = self.next_version();
+        let plan = Plan { version, map, skew, begun: now, holder: None, holds: Vec::new() };
         actions.push(Action::Planned(plan.clone()));
         self.plan = Some(plan);
         self.advance(now, actions);
     }
 
+    /// A version above all known ones that no other leader gives.
+    fn next_version(&self) -> u64 {
+        (((self.highest >> TAG_BITS) + 1) << TAG_BITS) | self.tag
+    }
+
     /// The map in use, if it is the same on all ranks and they all told what
     /// they hold of it.
     fn current_map(&self) -> Option<Assignment> {
@@ -442,18 +429,21 @@
     }
 
     /// Gives an order unless it was given a moment ago or shows its effect.
+    /// While the group is held, ranks whose agents are silent get it directly,
+    /// too.
     fn order(&mut self, now: Duration, rank: u32, order: Order, actions: &mut Vec<Action>) {
+        let is_held = !self.held().is_empty();
         let Some(known) = self.ranks.get_mut(&rank) else { return };
-        let wait = if matches!(order, Order::Prepare { .. }) { REPEAT_PREPARE } else { REPEAT };
+        let copies = matches!(order, Order::Prepare { .. });
+        let wait = if copies && !is_held { REPEAT_PREPARE } else { REPEAT };
         let repeated =
             known.sent.as_ref().is_some_and(|(sent, at)| *sent == order && now < *at + wait);
         if repeated || order.is_done(&known.status.report) {
             return;
         }
         known.sent = Some((order.clone(), now));
-        let under_hold = matches!(order, Order::Arm { .. } | Order::Release { .. });
-        let silent = known.agent_heard.is_none_or(|heard| now > heard + DIRECT_AFTER);
-        if under_hold && silent {
+        let agent_silent = known.agent_heard.is_none_or(|heard| now > heard + DIRECT_AFTER);
+        if is_held && agent_silent {
             actions.push(Action::Direct(rank, order.clone()));
         }
         actions.push(Action::Order(rank, order));
--- a/components/group/src/switch/message.rs
+++ b/components/group/src/switch/message.rs
@@ -62,6 +62,11 @@
         /// The pass.
         step: u64,
     },
+    /// Don't switch to a map, whatever the pass.
+    Disarm {
+        /// Version of the map.
+        version: u64,
+    },
     /// Let a held pass begin.
     Release {
         /// The pass.
@@ -87,6 +92,7 @@
                     || report.map == *version
                     || report.step >= *step
             }
+            Order::Disarm { version } => report.armed.is_none_or(|armed| armed.version != *version),
             Order::Release { step } => report.held != Some(*step),
         }
     }
--- a/components/rank/src/agent/lead.rs
+++ b/components/rank/src/agent/lead.rs
@@ -49,6 +49,10 @@
             Action::Done(version) => {
                 log::info!(target: "leader", version = version; "map in use");
             }
+            Action::Fenced(rank, version) => {
+                log::info!(target: "leader", rank = rank, version = version, epoch = epoch;
+                    "change abandoned, its rank is kept from being armed");
+            }
             Action::Dropped(version) => {
                 log::info!(target: "leader", version = version; "map given up");
             }
@@ -77,18 +81,34 @@
         });
     }
 
-    /// Gives an order to a rank whose agent is silent.
+    /// Gives an order to a rank without its agent. The effect of a hold is told
+    /// by that rank's agent; of a rank whose agent is silent it is read here.
     fn order_directly(&mut self, epoch: u64, rank: u32, order: Order) {
-        let Some(report) = &self.report else { return };
+        let (Some(report), Some(leader)) = (&self.report, &self.leader) else { return };
+        let known = self.links.get(&rank).and_then(|link| {
+            self.described.values().find(|agent| agent.link == *link).map(|agent| agent.address)
+        });
+        let sequence = leader.report(rank).map_or(0, |report| report.sequence);
         log::info!(target: "leader", rank = rank, order:% = own::name(&order);
-            "agent silent, ordering its rank directly");
+            "ordering a rank directly");
         let (pool, remote, client) = (self.pool.clone(), self.remote.clone(), self.client.clone());
         let group = report.group.clone();
         actix_rt::spawn(async move {
-            let addresses = afar::addresses(&client, &group).await;
-            let Some(address) = addresses.get(&rank) else { return };
-            if let Ok(report) = own::give(&pool, *address, epoch, &order).await {
-                let _ = remote.send(report);
+            let address = match known {
+                Some(address) => address,
+                None => match afar::addresses(&client, &group).await.get(&rank) {
+                    Some(address) => *address,
+                    None => return,
+                },
+            };
+            if matches!(order, Order::Hold { .. }) {
+                own::order(&pool, address, epoch, sequence, &order).await;
+                return;
+            }
+            match own::give(&pool, address, epoch, &order).await {
+                Ok(report) => drop(remote.send(report)),
+                Err(error) => log::info!(target: "leader", rank = rank, address:% = address,
+                    error:% = error; "no report after a direct order"),
             }
         });
     }
--- a/components/rank/src/own.rs
+++ b/components/rank/src/own.rs
@@ -79,16 +79,22 @@
     if before.epoch != epoch || order.is_done(&before) {
         return Ok(before);
     }
-    let body = rank::encode_order(order, epoch, before.sequence).to_string();
+    self::order(pool, address, epoch, before.sequence, order).await;
+    report(pool, address).await
+}
+
+/// Sends an order to a rank that is taken to have carried out `sequence`
+/// orders. Whether it was carried out shows in the rank's reports alone.
+pub async fn order(pool: &Pool, address: SocketAddr, epoch: u64, sequence: u64, order: &Order) {
+    let body = rank::encode_order(order, epoch, sequence).to_string();
     let sent =
         connection::call(pool, address, Method::POST, rank::ORDER_PATH, body.into(), TIMEOUT).await;
     let outcome = match &sent {
         Ok(answer) => answer.status.to_string(),
         Err(error) => error.to_string(),
     };
-    log::info!(target: "order", address:% = address, epoch = epoch, sequence = before.sequence,
-        step = before.step, order:% = name(order), outcome:% = outcome; "order given");
-    report(pool, address).await
+    log::info!(target: "order", address:% = address, epoch = epoch, sequence = sequence,
+        order:% = name(order), outcome:% = outcome; "order given");
 }
 
 /// An order in short, for logs.
@@ -97,6 +103,7 @@
         Order::Prepare { version, .. } => format!("prepare {version}"),
         Order::Hold { step } => format!("hold {step}"),
         Order::Arm { version, step } => format!("arm {version} at {step}"),
+        Order::Disarm { version } => format!("disarm {version}"),
         Order::Release { step } => format!("release {step}"),
     }
 }
