--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod front;
 mod meter;
 mod operations;
+mod patience;
 mod peers;
 mod relay;
 mod reload;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 
 use crate::Error;
 use crate::events::Splitter;
+use crate::patience::{Patience, time_left};
 use crate::request::Request;
 use crate::shared::{Open, Shared};
 
@@ -25,15 +26,6 @@
 /// it: a backend server that closes it meanwhile would leave its fate open.
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
 
-/// Silence of a stream after which another backend server is tried. Below the
-/// two seconds after which callers give up.
-const STREAM_SILENCE: Duration = Duration::from_millis(1700);
-
-/// Silence of an idempotent request after which another backend server is
-/// tried, in objectives, and its least value.
-const SILENCE_OBJECTIVES: f64 = 2.0;
-const SILENCE_MIN: Duration = Duration::from_millis(400);
-
 /// Time that a begun stream waits for a backend server. Below the two seconds
 /// after which callers give up.
 const RESUME_WAIT: Duration = Duration::from_millis(1500);
@@ -268,28 +260,17 @@
         let resumed = self.events.last();
         let last_event = (resumed > 0).then_some(resumed);
         let request = self.request.to_backend(&self.ticket, &self.target, left, last_event);
-        let (wait, silent) = self.wait(left);
-        let sent = actix_rt::time::timeout(wait, connection.send(request)).await;
-        let response = sent.map_err(|_| silent)??;
+        let response = self.patience()?.wait_for(connection.send(request)).await??;
         self.check(&response)?;
         Ok((connection, response))
     }
 
     fn left(&self) -> Result<Duration, Error> {
-        let left = self.ticket.deadline.saturating_sub(self.shared().now());
-        if left.is_zero() { Err(Error::Expired) } else { Ok(left) }
+        time_left(self.shared().now(), &self.ticket)
     }
 
-    /// How long to wait for the next sign of the backend server, and what its
-    /// absence means.
-    fn wait(&self, left: Duration) -> (Duration, Error) {
-        let silence = match self.ticket.kind {
-            Kind::Stream { resumable: true } => STREAM_SILENCE,
-            Kind::Idempotent => self.ticket.objective.mul_f64(SILENCE_OBJECTIVES).max(SILENCE_MIN),
-            _ => left,
-        };
-        let patient = self.ticket.attempts_left == 0 || silence >= left;
-        if patient { (left, Error::Expired) } else { (silence, Error::Silent) }
+    fn patience(&self) -> Result<Patience, Error> {
+        Patience::new(self.shared().now(), &self.ticket)
     }
 
     /// Whether the head belongs to the request and is the server's own.
@@ -399,10 +380,9 @@
             if !events.is_empty() {
                 return Ok(Some(events));
             }
-            let (wait, silent) = self.wait(self.left()?);
+            let patience = self.patience()?;
             let Some((_, body)) = &mut self.source else { return Err(Error::Broken) };
-            let frame = actix_rt::time::timeout(wait, body.frame()).await.map_err(|_| silent)?;
-            match frame {
+            match patience.wait_for(body.frame()).await? {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.events.push(data);
