--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -19,6 +19,8 @@
     pub retry_after: Option<String>,
     /// The value of `Content-Type`.
     pub content_type: Option<String>,
+    /// The request's id, by which the entry explains it.
+    pub request_id: Option<String>,
     /// The body.
     pub body: Vec<u8>,
     /// Whether the body came to its proper end, as far as its framing tells:
@@ -94,6 +96,7 @@
         value.to_str().ok().map(str::to_owned)
     };
     let (retry_after, content_type) = (header("retry-after"), header("content-type"));
+    let request_id = header("x-request-id");
     let length = header("content-length").and_then(|value| value.parse::<usize>().ok());
     let mut body = Vec::new();
     let mut whole = true;
@@ -107,5 +110,5 @@
         }
     }
     whole &= length.is_none_or(|length| length == body.len());
-    Some(Reply { status: response.status(), retry_after, content_type, body, whole })
+    Some(Reply { status: response.status(), retry_after, content_type, request_id, body, whole })
 }
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -386,6 +386,14 @@
     response.json().limit(4 << 20).await.ok()
 }
 
+/// What an entry says became of a request.
+pub async fn explain(operations: SocketAddr, id: &str) -> Option<String> {
+    let url = format!("http://{operations}/explain/{id}");
+    let mut response = awc::Client::default().get(url).send().await.ok()?;
+    let body = response.body().await.ok()?;
+    Some(String::from_utf8_lossy(&body).into_owned())
+}
+
 /// The value of a metric of a daemon.
 pub async fn metric(operations: SocketAddr, name: &str) -> Option<f64> {
     let url = format!("http://{operations}/metrics");
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -2,13 +2,14 @@
 #![allow(clippy::unwrap_used)]
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use lab::engine;
 use rstest::rstest;
 use system::caller;
-use system::cluster::{Cluster, Plan, wait_for};
+use system::cluster::{Cluster, Plan, explain, wait_for};
 
 /// What a prompt contains that crashes its engine.
 const MARKER: &str = "poisonous";
@@ -58,14 +59,19 @@
 #[derive(Debug, Default)]
 struct Tally {
     whole: u64,
-    /// Bodies of streams that began and ended with a problem.
+    /// Bodies of streams that ended with a problem, and the entry's account.
     broken: Vec<String>,
 }
 
 /// Streams one after the other until told to stop. One that finds its engine
 /// starting may be told to come back, before any of its answer. What comes
 /// must be right, byte by byte, and a stream that isn't whole must say so.
-async fn stream(url: String, name: &'static str, stop: Rc<Cell<bool>>) -> Tally {
+async fn stream(
+    url: String,
+    operations: SocketAddr,
+    name: &'static str,
+    stop: Rc<Cell<bool>>,
+) -> Tally {
     let mut tally = Tally::default();
     let mut count = 0;
     while !stop.get() {
@@ -86,7 +92,9 @@
         } else {
             assert!(expected.starts_with(&text), "{body}");
             assert!(body.contains("\"ran\":"), "{body}");
-            tally.broken.push(body);
+            let id = reply.request_id.as_deref().unwrap_or_default();
+            let account = explain(operations, id).await.unwrap_or_default();
+            tally.broken.push(format!("{body} {account}"));
         }
     }
     tally
@@ -116,8 +124,10 @@
     let cluster = Cluster::start(plan(report_lag)).await;
     let before = incarnations(&cluster).await;
     let stop = Rc::new(Cell::new(false));
-    let innocent =
-        |entry: &'static str| actix_rt::spawn(stream(cluster.url(entry), entry, stop.clone()));
+    let innocent = |entry: &'static str| {
+        let operations = cluster.entries[entry].operations;
+        actix_rt::spawn(stream(cluster.url(entry), operations, entry, stop.clone()))
+    };
     let innocents: Vec<_> = ENTRIES.into_iter().map(innocent).collect();
 
     let prompt = format!("a {MARKER} foot");
