End with the diagnostic alone and exit 2 when an address can't be used

Cause: run() fails while actors that were created have not run; the system is dropped, they start without a reactor and panic (seen in entry and agent). The exit code was 1. Now the system is left to the end of the process, and the code is 2, as for settings: the address is one of them. Ruled out: binding before the actors (the HTTP servers need their addresses).

--- a/bins/wisteria-gateway/src/cmd/flags.rs
+++ b/bins/wisteria-gateway/src/cmd/flags.rs
@@ -6,7 +6,7 @@
 xflags::xflags! {
     /// The entry daemon that sends straight to backend servers.
     ///
-    /// Exit codes: 0 stopped as told, 1 could not run, 2 bad command line or settings.
+    /// Exit codes: 0 stopped as told, 2 bad command line, settings or addresses.
     cmd gateway {
         /// Settings in JSON.
         required --settings file: PathBuf
--- a/bins/wisteria-rank/src/cmd/flags.rs
+++ b/bins/wisteria-rank/src/cmd/flags.rs
@@ -6,7 +6,7 @@
 xflags::xflags! {
     /// The daemon beside a rank of a group.
     ///
-    /// Exit codes: 0 stopped as told, 1 could not run, 2 bad command line or settings.
+    /// Exit codes: 0 stopped as told, 2 bad command line, settings or addresses.
     cmd rank {
         /// Settings in JSON.
         required --settings file: PathBuf
--- a/components/daemon/src/start.rs
+++ b/components/daemon/src/start.rs
@@ -6,10 +6,9 @@
 use serde::de::DeserializeOwned;
 use settings::Check;
 
-/// Exit code for a bad command line or bad settings.
+/// Exit code for a bad command line, bad settings or an address that can't be
+/// used.
 const BAD_INPUT: u8 = 2;
-/// Exit code for a daemon that could not run.
-const FAILED: u8 = 1;
 
 /// What a daemon's command line says.
 #[derive(Clone, Debug)]
@@ -23,7 +22,8 @@
 /// Loads the settings and runs the daemon, or only checks them.
 ///
 /// Bad settings are shown with their places in the file and end the process
-/// with exit code 2 before anything is started.
+/// with exit code 2 before anything is started. So does an address in them that
+/// can't be used.
 pub fn start<T, E, F>(flags: Flags, run: impl FnOnce(T) -> F) -> ExitCode
 where
     T: DeserializeOwned + Check,
@@ -58,11 +58,15 @@
     if let Err(error) = init_log() {
         eprintln!("{error}");
     }
-    match actix_rt::System::new().block_on(run(settings)) {
+    let system = actix_rt::System::new();
+    match system.block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{:?}", miette::Report::new(error));
-            ExitCode::from(FAILED)
+            // Actors that were created but never ran would start while the
+            // system is dropped, without a reactor.
+            std::mem::forget(system);
+            ExitCode::from(BAD_INPUT)
         }
     }
 }
--- /dev/null
+++ b/tests/tests/start.rs
@@ -0,0 +1,75 @@
+//! Daemons that can't start.
+#![allow(clippy::unwrap_used)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::Command;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use system::port;
+use system::process::programs;
+
+/// The settings of a sample in `examples/`, with addresses of their own.
+fn sample(file: &str) -> Value {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples").join(file);
+    let mut settings: Value = serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap();
+    for key in ["listen", "operations", "link"] {
+        if let Some(value) = settings.get_mut(key) {
+            *value = address(key, port::free());
+        }
+    }
+    settings
+}
+
+/// An address as the settings of the product's own interface write it.
+fn address(key: &str, address: SocketAddr) -> Value {
+    if key == "link" { json!(format!("tcp://{address}")) } else { json!(address) }
+}
+
+fn gateway() -> Value {
+    json!({
+        "name": "front-1", "zone": "a", "listen": port::free(), "ready": port::free(),
+        "operations": port::free(), "link": port::free(), "seeds": [], "store": port::free(),
+        "limits": { "retry_ratio": 0.2, "retry_slack": 80.0, "retry_window_ms": 10_000 },
+        "grace_ms": 8000
+    })
+}
+
+fn rank() -> Value {
+    json!({
+        "name": "side-1", "rank": port::free(), "pool": "models", "link": port::free(),
+        "operations": port::free(), "store": port::free()
+    })
+}
+
+/// An address of another process: the daemon ends with the diagnostic alone.
+#[rstest]
+#[case::entry_listen("wisteria-entry", sample("entry-1.json"), "listen")]
+#[case::entry_operations("wisteria-entry", sample("entry-1.json"), "operations")]
+#[case::entry_link("wisteria-entry", sample("entry-1.json"), "link")]
+#[case::agent_operations("wisteria-agent", sample("agent-engine-1.json"), "operations")]
+#[case::agent_link("wisteria-agent", sample("agent-engine-1.json"), "link")]
+#[case::gateway_listen("wisteria-gateway", gateway(), "listen")]
+#[case::gateway_ready("wisteria-gateway", gateway(), "ready")]
+#[case::gateway_operations("wisteria-gateway", gateway(), "operations")]
+#[case::gateway_link("wisteria-gateway", gateway(), "link")]
+#[case::rank_operations("wisteria-rank", rank(), "operations")]
+#[case::rank_link("wisteria-rank", rank(), "link")]
+fn refuse_taken_address(#[case] program: &str, #[case] mut settings: Value, #[case] key: &str) {
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = other.local_addr().unwrap();
+    let plain = settings[key].as_str().is_none_or(|value| !value.starts_with("tcp://"));
+    settings[key] = if plain { json!(taken) } else { address("link", taken) };
+    let directory = programs().join("system-tests");
+    std::fs::create_dir_all(&directory).unwrap();
+    let file = directory.join(format!("taken-{}-{program}-{key}.json", std::process::id()));
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let output =
+        Command::new(programs().join(program)).arg("--settings").arg(&file).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains(&taken.to_string()), "{said}");
+    assert!(!said.contains("panicked"), "{said}");
+    assert!(!said.contains("backtrace"), "{said}");
+}
