Let fewer requests in while passes are long; no second attempt while a pool is slow

Now an entry keeps the mean gap between events of a pool's streams. Beyond 200 ms it lets in fewer requests, down to half of the slots, and more again below 120 ms; the others are refused at once. A silent stream stays where it is while its pool is slow or stands still.

Half of the slots is still too much with one slow rank; which one it is can't be seen from outside.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -19,6 +19,7 @@
 use crate::crash::Register;
 use crate::gossip::Work;
 use crate::member::Member;
+use crate::pace::Pace;
 use crate::ticket::{Ask, Reason, Refusal, Target, Ticket};
 use crate::view::{Update, View};
 
@@ -105,6 +106,7 @@
     view: View,
     members: BTreeMap<Name, Member>,
     budgets: BTreeMap<Name, Budget>,
+    paces: BTreeMap<Name, Pace>,
     neighbours: BTreeMap<Name, Neighbour>,
     behind: BTreeMap<Kind, Behind>,
     crashes: Register,
@@ -122,6 +124,7 @@
             view: View::default(),
             members: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            paces: BTreeMap::new(),
             neighbours: BTreeMap::new(),
             behind: BTreeMap::new(),
             crashes: Register::default(),
@@ -280,7 +283,8 @@
         let pool = self.view.config().and_then(|config| config.pools.get(&ticket.pool));
         let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
         let engine = pool.and_then(|pool| pool.engine);
-        let need = Need { zone: &self.options.zone, engine: engine.as_ref() };
+        let share = self.paces.get(&ticket.pool).map_or(1.0, Pace::share);
+        let need = Need { zone: &self.options.zone, engine: engine.as_ref(), share };
         let view = &self.view;
         let usable = |(name, member): &(&Name, &mut Member)| {
             member.server.pool == ticket.pool
@@ -336,6 +340,18 @@
         }
     }
 
+    /// An event of a stream came `gap` after the one before.
+    pub fn note_gap(&mut self, now: Duration, pool: &Name, gap: Duration) {
+        self.paces.entry(pool.clone()).or_default().note(now, gap);
+    }
+
+    /// Whether the streams of a pool are slow as a whole, or stand still. Then
+    /// a stream that is silent stays where it is: another server of the pool is
+    /// as slow, and would read the prompt once more.
+    pub fn is_slow(&self, now: Duration, pool: &str) -> bool {
+        self.paces.get(pool).is_some_and(|pace| pace.is_slow(now))
+    }
+
     /// An attempt at a server is over.
     pub fn release(&mut self, server: &str) {
         if let Some(member) = self.members.get_mut(server) {
--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -31,13 +31,15 @@
     pub zone: &'a str,
     /// What work costs, for model engines.
     pub engine: Option<&'a Engine>,
+    /// Share of the usual limit of open requests that the pool takes.
+    pub share: f64,
 }
 
 /// Whether a member takes no further request for the moment.
 pub fn is_full(now: Duration, member: &Member, need: Need<'_>) -> bool {
     let slots = f64::from(member.server.slots);
     let share = if need.engine.is_some() { ENGINE_QUEUE_SHARE } else { SERVICE_QUEUE_SHARE };
-    f64::from(member.work(now).open) >= slots * (1.0 + share)
+    f64::from(member.work(now).open) >= slots * (1.0 + share) * need.share
 }
 
 /// The member that a request burdens least, from those offered.
--- /dev/null
+++ b/components/balance/src/pace.rs
@@ -0,0 +1,88 @@
+//! How fast the streams of a pool go on.
+
+use std::time::Duration;
+
+/// Share of the newest gap in the mean.
+const WEIGHT: f64 = 0.1;
+
+/// Mean gap between events from which on a pool is slow: six times a usual
+/// pass of a rank group.
+const SLOW_GAP: Duration = Duration::from_millis(300);
+
+/// Age of the newest event from which on a pool stands still.
+const STILL_AFTER: Duration = Duration::from_millis(1000);
+
+/// Mean gap beyond which fewer requests are let in. A stream of some thirty
+/// events has to end within the eight seconds that callers wait.
+const LONG_GAP: Duration = Duration::from_millis(200);
+
+/// Mean gap below which more are let in again: the pause that callers accept.
+const SHORT_GAP: Duration = Duration::from_millis(120);
+
+/// Time between two changes of the share, some passes.
+const ADJUST: Duration = Duration::from_millis(400);
+
+/// Factor by which the share falls, and what it rises by.
+const FALL: f64 = 0.75;
+const RISE: f64 = 0.1;
+
+/// Least share. With a queue of half the slots it fills half of the slots, so
+/// that nobody is refused while most of them are free.
+const SHARE_MIN: f64 = 0.34;
+
+/// The pace of a pool's streams, as this entry sees them.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Mean gap between two events of a stream.
+    gap: Duration,
+    /// When the last event came.
+    heard: Duration,
+    /// Share of the usual limit of open requests.
+    share: f64,
+    adjusted: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace { gap: Duration::ZERO, heard: Duration::ZERO, share: 1.0, adjusted: Duration::ZERO }
+    }
+}
+
+impl Pace {
+    /// Notes an event that came `gap` after the one before in its stream.
+    pub fn note(&mut self, now: Duration, gap: Duration) {
+        self.gap = self.gap.mul_f64(1.0 - WEIGHT) + gap.mul_f64(WEIGHT);
+        self.heard = self.heard.max(now);
+        if now < self.adjusted + ADJUST {
+            return;
+        }
+        self.adjusted = now;
+        if self.gap > LONG_GAP {
+            self.share = (self.share * FALL).max(SHARE_MIN);
+        } else if self.gap < SHORT_GAP {
+            self.share = (self.share + RISE).min(1.0);
+        }
+    }
+
+    /// Share of the usual limit of open requests that the pool takes. All
+    /// ranks of a group make each pass together: with fewer requests on each,
+    /// passes get shorter and those that are let in end in time.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Whether the pool as a whole is slow or stands still, so that a stream
+    /// that waits there gains nothing from another server.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut pace = balance::pace::Pace::default();
+    /// let at = Duration::from_secs(5);
+    /// pace.note(at, Duration::from_millis(50));
+    /// assert!(!pace.is_slow(at));
+    /// assert!(pace.is_slow(at + Duration::from_secs(2)));
+    /// ```
+    pub fn is_slow(&self, now: Duration) -> bool {
+        self.gap > SLOW_GAP || now > self.heard + STILL_AFTER
+    }
+}
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -287,3 +287,61 @@
         assert_eq!(sent(&mut balancer, ms(2010), "/safe/scan").1, "d2");
     }
 }
+
+/// One slow rank makes all passes of its group last twelve times as long: a
+/// stream that waits there is not sent to another rank. Once the passes are
+/// short again, silence means the rank itself.
+#[test]
+fn is_slow_pool_with_long_passes() {
+    let mut balancer = ready(&[("r1", rank(1, true)), ("r2", rank(2, true))]);
+    let pool = "models".into();
+    assert!(!balancer.is_slow(ms(1000), "models"), "no stream yet");
+    let pass = |balancer: &mut balance::Balancer, from, gap, passes| {
+        for step in 1..=passes {
+            balancer.note_gap(ms(from + gap * step), &pool, ms(gap));
+        }
+        from + gap * passes
+    };
+    let at = pass(&mut balancer, 1000, 50, 40);
+    assert!(!balancer.is_slow(ms(at), "models"));
+    let at = pass(&mut balancer, at, 800, 10);
+    assert!(balancer.is_slow(ms(at), "models"));
+    let at = pass(&mut balancer, at, 50, 40);
+    assert!(!balancer.is_slow(ms(at), "models"));
+    assert!(balancer.is_slow(ms(at + 1100), "models"), "the group is held");
+}
+
+/// The load of that day: passes of 800 ms while requests keep coming. Fewer are
+/// let in, down to half of the slots, and more again once passes are short.
+#[test]
+fn choose_fewer_while_passes_are_long() {
+    let mut balancer = ready(&[("r1", rank(1, true))]);
+    let open = |balancer: &mut balance::Balancer, at| {
+        let mut sent = 0;
+        loop {
+            let mut ticket = balancer.admit(ms(at), &ask("/stream/notes")).unwrap();
+            match balancer.choose(ms(at), &mut ticket) {
+                Ok(_) => sent += 1,
+                Err(refusal) => {
+                    assert_eq!((refusal.reason, refusal.status), (Reason::Full, 503));
+                    assert!(refusal.retry_after.is_some());
+                    break;
+                }
+            }
+        }
+        (0..sent).for_each(|_| balancer.release("r1"));
+        sent
+    };
+    let pool = "models".into();
+    let usual = open(&mut balancer, 1000);
+    for step in 1..=10 {
+        balancer.note_gap(ms(1000 + 800 * step), &pool, ms(800));
+    }
+    let long = open(&mut balancer, 9000);
+    assert!(long < usual / 2, "{long} of {usual}");
+    assert!(long >= 2, "half of the four slots");
+    for step in 1..=120 {
+        balancer.note_gap(ms(9000 + 50 * step), &pool, ms(50));
+    }
+    assert_eq!(open(&mut balancer, 15_000), usual);
+}
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -1,11 +1,14 @@
 //! How long a request waits for the next sign of its backend server.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use balance::Ticket;
 use balance::config::Kind;
+use tables::Name;
 
 use crate::Error;
+use crate::shared::Shared;
 
 /// Silence of a stream after which another backend server is tried. Below the
 /// two seconds after which callers give up.
@@ -16,29 +19,42 @@
 const SILENCE_OBJECTIVES: f64 = 2.0;
 const SILENCE_MIN: Duration = Duration::from_millis(400);
 
+/// Time between two looks whether a slow pool has recovered.
+const LOOK: Duration = Duration::from_millis(200);
+
 /// How long to wait for a sign, and what its absence means.
 pub struct Patience {
+    shared: Arc<Shared>,
+    pool: Name,
     wait: Duration,
     absence: Error,
+    /// When the caller's time ends.
+    deadline: Duration,
+    /// Whether to wait on while the pool as a whole is slow.
+    stays: bool,
 }
 
 impl Patience {
-    /// The patience of a request at a time.
+    /// The patience of a request from now on.
     ///
     /// # Errors
     ///
     /// If the caller has no time left.
-    pub fn new(now: Duration, ticket: &Ticket) -> Result<Patience, Error> {
-        let left = time_left(now, ticket)?;
+    pub fn new(shared: Arc<Shared>, ticket: &Ticket) -> Result<Patience, Error> {
+        let left = time_left(shared.now(), ticket)?;
+        let stays = ticket.kind == Kind::Stream { resumable: true };
         let silence = match ticket.kind {
             Kind::Stream { resumable: true } => STREAM_SILENCE,
             Kind::Idempotent => ticket.objective.mul_f64(SILENCE_OBJECTIVES).max(SILENCE_MIN),
             _ => left,
         };
-        if ticket.attempts_left == 0 || silence >= left {
-            return Ok(Patience { wait: left, absence: Error::Expired });
-        }
-        Ok(Patience { wait: silence, absence: Error::Silent })
+        let (wait, absence) = if ticket.attempts_left == 0 || silence >= left {
+            (left, Error::Expired)
+        } else {
+            (silence, Error::Silent)
+        };
+        let (pool, deadline) = (ticket.pool.clone(), ticket.deadline);
+        Ok(Patience { shared, pool, wait, absence, deadline, stays })
     }
 
     /// Waits for a sign.
@@ -47,7 +63,21 @@
     ///
     /// What its absence means.
     pub async fn wait_for<T>(self, sign: impl Future<Output = T>) -> Result<T, Error> {
-        actix_rt::time::timeout(self.wait, sign).await.map_err(|_| self.absence)
+        let mut sign = std::pin::pin!(sign);
+        let mut wait = self.wait;
+        loop {
+            if let Ok(sign) = actix_rt::time::timeout(wait, &mut sign).await {
+                return Ok(sign);
+            }
+            let now = self.shared.now();
+            if now >= self.deadline {
+                return Err(Error::Expired);
+            }
+            if !self.stays || !self.shared.balancer().is_slow(now, &self.pool) {
+                return Err(self.absence);
+            }
+            wait = LOOK.min(self.deadline - now);
+        }
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -92,6 +92,8 @@
     attempt: Option<Attempt>,
     source: Option<(Connection, Incoming)>,
     events: Splitter,
+    /// When the last events came.
+    heard: Option<Duration>,
     finished: bool,
     _open: Open,
 }
@@ -138,6 +140,7 @@
             attempt: None,
             source: None,
             events,
+            heard: None,
             finished: false,
             _open: open,
         };
@@ -270,7 +273,7 @@
     }
 
     fn patience(&self) -> Result<Patience, Error> {
-        Patience::new(self.shared().now(), &self.ticket)
+        Patience::new(self.shared().clone(), &self.ticket)
     }
 
     /// Whether the head belongs to the request and is the server's own.
@@ -363,9 +366,13 @@
     }
 
     fn note_events(&mut self) {
+        let now = self.shared().now();
+        if let Some(before) = self.heard.replace(now) {
+            self.shared().balancer().note_gap(now, &self.ticket.pool, now - before);
+        }
         if !self.ticket.begun {
             self.ticket.begun = true;
-            let age = self.shared().now() - self.ticket.arrived;
+            let age = now - self.ticket.arrived;
             self.shared().meter.first.record(age.as_secs_f64());
         }
         if let Some(attempt) = &mut self.attempt {
