Pace of a pool: unknown when old, still only if others have work, told in log and dump

Reading the change once more: a lone stream at an idle pool counted its pool as standing still and was never sent elsewhere; a gap over a resumption counted as pace; a share from a slow time stayed after minutes without streams; nothing told on call that the limit had changed.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -283,7 +283,7 @@
         let pool = self.view.config().and_then(|config| config.pools.get(&ticket.pool));
         let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
         let engine = pool.and_then(|pool| pool.engine);
-        let share = self.paces.get(&ticket.pool).map_or(1.0, Pace::share);
+        let share = self.paces.get(&ticket.pool).map_or(1.0, |pace| pace.share(now));
         let need = Need { zone: &self.options.zone, engine: engine.as_ref(), share };
         let view = &self.view;
         let usable = |(name, member): &(&Name, &mut Member)| {
@@ -340,16 +340,21 @@
         }
     }
 
-    /// An event of a stream came `gap` after the one before.
-    pub fn note_gap(&mut self, now: Duration, pool: &Name, gap: Duration) {
-        self.paces.entry(pool.clone()).or_default().note(now, gap);
+    /// An event of a stream came `gap` after the one before. Returns the share
+    /// of the usual limit of open requests that the pool takes, if it changed.
+    pub fn note_gap(&mut self, now: Duration, pool: &Name, gap: Duration) -> Option<f64> {
+        self.paces.entry(pool.clone()).or_default().note(now, gap)
     }
 
-    /// Whether the streams of a pool are slow as a whole, or stand still. Then
-    /// a stream that is silent stays where it is: another server of the pool is
-    /// as slow, and would read the prompt once more.
-    pub fn is_slow(&self, now: Duration, pool: &str) -> bool {
-        self.paces.get(pool).is_some_and(|pace| pace.is_slow(now))
+    /// Whether a pool is slow as a whole, or stands still although other
+    /// servers of it have work. Then a stream that waits at `server` stays
+    /// there: another one is as slow, and would read the prompt once more.
+    pub fn is_slow(&self, now: Duration, pool: &str, server: &str) -> bool {
+        let Some(pace) = self.paces.get(pool) else { return false };
+        let busy = |(name, member): (&Name, &Member)| {
+            name.as_str() != server && member.server.pool.as_str() == pool && member.own.open > 0
+        };
+        pace.is_slow(now) || (pace.is_still(now) && self.members.iter().any(busy))
     }
 
     /// An attempt at a server is over.
@@ -385,6 +390,13 @@
             self.members.iter().map(|(name, member)| (name, member.show(now))).collect();
         let revisions: BTreeMap<_, _> =
             Kind::ALL.iter().map(|kind| (format!("{kind:?}"), self.view.revision(*kind))).collect();
+        let pool = |(name, pace): (&Name, &Pace)| {
+            let shown = serde_json::json!({
+                "gap_ms": pace.gap().as_millis() as u64, "share": pace.share(now),
+            });
+            (name.clone(), shown)
+        };
+        let pools: BTreeMap<_, _> = self.paces.iter().map(pool).collect();
         serde_json::json!({
             "name": self.options.name,
             "zone": self.options.zone,
@@ -392,6 +404,7 @@
             "entries": self.entries(now),
             "config_version": self.config().map(|config| config.version),
             "revisions": revisions,
+            "pools": pools,
             "members": members,
         })
     }
--- a/components/balance/src/pace.rs
+++ b/components/balance/src/pace.rs
@@ -19,6 +19,9 @@
 /// Mean gap below which more are let in again: the pause that callers accept.
 const SHORT_GAP: Duration = Duration::from_millis(120);
 
+/// Age of the newest event from which on the pace is unknown.
+const LIFETIME: Duration = Duration::from_secs(5);
+
 /// Time between two changes of the share, some passes.
 const ADJUST: Duration = Duration::from_millis(400);
 
@@ -50,39 +53,57 @@
 
 impl Pace {
     /// Notes an event that came `gap` after the one before in its stream.
-    pub fn note(&mut self, now: Duration, gap: Duration) {
+    /// Returns the share of open requests if it changed.
+    pub fn note(&mut self, now: Duration, gap: Duration) -> Option<f64> {
         self.gap = self.gap.mul_f64(1.0 - WEIGHT) + gap.mul_f64(WEIGHT);
         self.heard = self.heard.max(now);
         if now < self.adjusted + ADJUST {
-            return;
+            return None;
         }
         self.adjusted = now;
+        let before = self.share;
         if self.gap > LONG_GAP {
             self.share = (self.share * FALL).max(SHARE_MIN);
         } else if self.gap < SHORT_GAP {
             self.share = (self.share + RISE).min(1.0);
         }
+        (self.share != before).then_some(self.share)
     }
 
     /// Share of the usual limit of open requests that the pool takes. All
     /// ranks of a group make each pass together: with fewer requests on each,
     /// passes get shorter and those that are let in end in time.
-    pub fn share(&self) -> f64 {
-        self.share
+    pub fn share(&self, now: Duration) -> f64 {
+        if self.is_known(now) { self.share } else { 1.0 }
+    }
+
+    /// Mean gap between two events of a stream.
+    pub fn gap(&self) -> Duration {
+        self.gap
     }
 
-    /// Whether the pool as a whole is slow or stands still, so that a stream
-    /// that waits there gains nothing from another server.
+    /// Whether the streams of the pool are slow.
     ///
     /// ```
     /// use std::time::Duration;
     /// let mut pace = balance::pace::Pace::default();
     /// let at = Duration::from_secs(5);
-    /// pace.note(at, Duration::from_millis(50));
-    /// assert!(!pace.is_slow(at));
-    /// assert!(pace.is_slow(at + Duration::from_secs(2)));
+    /// for _ in 0..20 {
+    ///     pace.note(at, Duration::from_millis(800));
+    /// }
+    /// assert!(pace.is_slow(at));
+    /// assert!(!pace.is_slow(at + Duration::from_secs(60)), "nobody knows");
     /// ```
     pub fn is_slow(&self, now: Duration) -> bool {
-        self.gap > SLOW_GAP || now > self.heard + STILL_AFTER
+        self.gap > SLOW_GAP && self.is_known(now)
+    }
+
+    /// Whether no event came for long.
+    pub fn is_still(&self, now: Duration) -> bool {
+        now > self.heard + STILL_AFTER
+    }
+
+    fn is_known(&self, now: Duration) -> bool {
+        now < self.heard + LIFETIME
     }
 }
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -26,6 +26,7 @@
 pub struct Patience {
     shared: Arc<Shared>,
     pool: Name,
+    server: Name,
     wait: Duration,
     absence: Error,
     /// When the caller's time ends.
@@ -35,12 +36,12 @@
 }
 
 impl Patience {
-    /// The patience of a request from now on.
+    /// The patience of a request with a backend server from now on.
     ///
     /// # Errors
     ///
     /// If the caller has no time left.
-    pub fn new(shared: Arc<Shared>, ticket: &Ticket) -> Result<Patience, Error> {
+    pub fn new(shared: Arc<Shared>, ticket: &Ticket, server: &Name) -> Result<Patience, Error> {
         let left = time_left(shared.now(), ticket)?;
         let stays = ticket.kind == Kind::Stream { resumable: true };
         let silence = match ticket.kind {
@@ -53,8 +54,8 @@
         } else {
             (silence, Error::Silent)
         };
-        let (pool, deadline) = (ticket.pool.clone(), ticket.deadline);
-        Ok(Patience { shared, pool, wait, absence, deadline, stays })
+        let (pool, server) = (ticket.pool.clone(), server.clone());
+        Ok(Patience { shared, pool, server, wait, absence, deadline: ticket.deadline, stays })
     }
 
     /// Waits for a sign.
@@ -73,7 +74,7 @@
             if now >= self.deadline {
                 return Err(Error::Expired);
             }
-            if !self.stays || !self.shared.balancer().is_slow(now, &self.pool) {
+            if !self.stays || !self.shared.balancer().is_slow(now, &self.pool, &self.server) {
                 return Err(self.absence);
             }
             wait = LOOK.min(self.deadline - now);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -92,7 +92,7 @@
     attempt: Option<Attempt>,
     source: Option<(Connection, Incoming)>,
     events: Splitter,
-    /// When the last events came.
+    /// When the last events of the present attempt came.
     heard: Option<Duration>,
     finished: bool,
     _open: Open,
@@ -273,7 +273,7 @@
     }
 
     fn patience(&self) -> Result<Patience, Error> {
-        Patience::new(self.shared().clone(), &self.ticket)
+        Patience::new(self.shared().clone(), &self.ticket, &self.target.server)
     }
 
     /// Whether the head belongs to the request and is the server's own.
@@ -368,7 +368,12 @@
     fn note_events(&mut self) {
         let now = self.shared().now();
         if let Some(before) = self.heard.replace(now) {
-            self.shared().balancer().note_gap(now, &self.ticket.pool, now - before);
+            let gap = now - before;
+            let share = self.shared().balancer().note_gap(now, &self.ticket.pool, gap);
+            if let Some(share) = share {
+                log::info!(target: "limit", pool:% = self.ticket.pool, share = share,
+                    gap_ms = gap.as_millis() as u64; "limit of open requests changed");
+            }
         }
         if !self.ticket.begun {
             self.ticket.begun = true;
@@ -429,6 +434,8 @@
         let mut error = error;
         let broken = self.shared().now();
         self.events.restart();
+        // The gap until the next event says nothing of the pool's pace.
+        self.heard = None;
         loop {
             if let Err(refusal) = self.go_on(error) {
                 self.wait_for_server(broken, refusal).await?;
