--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -327,7 +327,7 @@
             member.bucket.take();
         }
         let open = member.work(now).open;
-        let work = Work { open: 1, unread: 1, tokens: ticket.prompt_tokens };
+        let work = Work { open: 1, tokens: ticket.prompt_tokens };
         member.own = member.own.plus(work);
         Target { address: member.server.address, server, open, cold }
     }
@@ -335,7 +335,6 @@
     /// The first event or the whole answer of an attempt has come.
     pub fn note_first(&mut self, server: &str, prompt_tokens: u32) {
         if let Some(member) = self.members.get_mut(server) {
-            member.own.unread = member.own.unread.saturating_sub(1);
             member.own.tokens = member.own.tokens.saturating_sub(prompt_tokens);
         }
     }
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -40,8 +40,6 @@
 pub struct Work {
     /// Requests that are open.
     pub open: u32,
-    /// Requests whose first event has not come.
-    pub unread: u32,
     /// Prompt tokens of requests whose first event has not come.
     pub tokens: u32,
 }
@@ -51,14 +49,10 @@
     ///
     /// ```
     /// use balance::gossip::Work;
-    /// let one = Work { open: 1, unread: 1, tokens: 700 };
+    /// let one = Work { open: 1, tokens: 700 };
     /// assert_eq!(one.plus(one).tokens, 1400);
     /// ```
     pub fn plus(self, other: Work) -> Work {
-        Work {
-            open: self.open + other.open,
-            unread: self.unread + other.unread,
-            tokens: self.tokens + other.tokens,
-        }
+        Work { open: self.open + other.open, tokens: self.tokens + other.tokens }
     }
 }
--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -73,7 +73,9 @@
 
     /// Takes in an update. Returns whether anything changed.
     pub fn apply(&mut self, now: Duration, update: Update) -> bool {
-        let before = self.listed_servers();
+        // Copies of all servers are only needed shortly after an outage.
+        let held_until = self.returned_at.map(|at| at + LAPSE_HOLD).filter(|until| now < *until);
+        let before = held_until.map(|until| (until, self.listed_servers()));
         let changed = match update {
             Update::Listing { kind, revision, rows } => {
                 if revision < self.revision(kind) {
@@ -96,15 +98,18 @@
         changed
     }
 
-    /// Keeps servers that vanished just after an outage.
-    fn hold_lapsed(&mut self, now: Duration, before: BTreeMap<Name, Server>) {
-        let after = self.listed_servers();
-        self.lapsed.retain(|name, (_, until)| !after.contains_key(name) && now < *until);
-        let Some(until) = self.returned_at.map(|at| at + LAPSE_HOLD).filter(|at| now < *at) else {
-            return;
+    /// Keeps servers that vanished just after an outage, from those that were
+    /// listed before, until a time.
+    fn hold_lapsed(&mut self, now: Duration, before: Option<(Duration, BTreeMap<Name, Server>)>) {
+        let servers = self.tables.get(&Kind::Server);
+        let is_listed = |name: &Name| {
+            let row = servers.and_then(|table| table.row(name));
+            row.is_some_and(|row| matches!(row.body, Some(Content::Server(_))))
         };
+        self.lapsed.retain(|name, (_, until)| !is_listed(name) && now < *until);
+        let Some((until, before)) = before else { return };
         for (name, server) in before {
-            if !after.contains_key(&name) && !server.draining {
+            if !is_listed(&name) && !server.draining {
                 self.lapsed.insert(name, (server, until));
             }
         }
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -1,6 +1,5 @@
 //! How long a request waits for the next sign of its backend server.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use balance::Ticket;
@@ -23,10 +22,10 @@
 const LOOK: Duration = Duration::from_millis(200);
 
 /// How long to wait for a sign, and what its absence means.
-pub struct Patience {
-    shared: Arc<Shared>,
-    pool: Name,
-    server: Name,
+pub struct Patience<'a> {
+    shared: &'a Shared,
+    pool: &'a Name,
+    server: &'a Name,
     wait: Duration,
     absence: Error,
     /// When the caller's time ends.
@@ -35,13 +34,17 @@
     stays: bool,
 }
 
-impl Patience {
+impl<'a> Patience<'a> {
     /// The patience of a request with a backend server from now on.
     ///
     /// # Errors
     ///
     /// If the caller has no time left.
-    pub fn new(shared: Arc<Shared>, ticket: &Ticket, server: &Name) -> Result<Patience, Error> {
+    pub fn new(
+        shared: &'a Shared,
+        ticket: &'a Ticket,
+        server: &'a Name,
+    ) -> Result<Patience<'a>, Error> {
         let left = time_left(shared.now(), ticket)?;
         let stays = ticket.kind == Kind::Stream { resumable: true };
         let silence = match ticket.kind {
@@ -54,8 +57,8 @@
         } else {
             (silence, Error::Silent)
         };
-        let (pool, server) = (ticket.pool.clone(), server.clone());
-        Ok(Patience { shared, pool, server, wait, absence, deadline: ticket.deadline, stays })
+        let (pool, deadline) = (&ticket.pool, ticket.deadline);
+        Ok(Patience { shared, pool, server, wait, absence, deadline, stays })
     }
 
     /// Waits for a sign.
@@ -74,7 +77,7 @@
             if now >= self.deadline {
                 return Err(Error::Expired);
             }
-            if !self.stays || !self.shared.balancer().is_slow(now, &self.pool, &self.server) {
+            if !self.stays || !self.shared.balancer().is_slow(now, self.pool, self.server) {
                 return Err(self.absence);
             }
             wait = LOOK.min(self.deadline - now);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -263,7 +263,8 @@
         let resumed = self.events.last();
         let last_event = (resumed > 0).then_some(resumed);
         let request = self.request.to_backend(&self.ticket, &self.target, left, last_event);
-        let response = self.patience()?.wait_for(connection.send(request)).await??;
+        let patience = Patience::new(self.shared(), &self.ticket, &self.target.server)?;
+        let response = patience.wait_for(connection.send(request)).await??;
         self.check(&response)?;
         Ok((connection, response))
     }
@@ -272,10 +273,6 @@
         time_left(self.shared().now(), &self.ticket)
     }
 
-    fn patience(&self) -> Result<Patience, Error> {
-        Patience::new(self.shared().clone(), &self.ticket, &self.target.server)
-    }
-
     /// Whether the head belongs to the request and is the server's own.
     fn check(&self, response: &Response<Incoming>) -> Result<(), Error> {
         let status = response.status().as_u16();
@@ -392,7 +389,8 @@
             if !events.is_empty() {
                 return Ok(Some(events));
             }
-            let patience = self.patience()?;
+            let server = &self.target.server;
+            let patience = Patience::new(&self.context.shared, &self.ticket, server)?;
             let Some((_, body)) = &mut self.source else { return Err(Error::Broken) };
             match patience.wait_for(body.frame()).await? {
                 Some(Ok(frame)) => {
--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -35,9 +35,8 @@
     /// assert_eq!(map.sets[0], vec![vec![0, 2], vec![1, 3]]);
     /// ```
     pub fn dealt(ranks: usize, sets: usize, experts: usize) -> Assignment {
-        let rank = |rank| (rank..experts).step_by(ranks.max(1)).map(|expert| expert as u16);
-        let set: Vec<Vec<u16>> = (0..ranks).map(|index| rank(index).collect()).collect();
-        Assignment { sets: vec![set; sets] }
+        let all: Vec<usize> = (0..ranks).collect();
+        Assignment { sets: vec![deal(ranks, &all, 0..experts as u16); sets] }
     }
 
     /// An assignment in which a rank keeps what it holds, by set of layers, and
@@ -51,11 +50,8 @@
     pub fn around(rank: usize, held: &[Vec<u16>], ranks: usize, experts: usize) -> Assignment {
         let others: Vec<usize> = (0..ranks).filter(|other| *other != rank).collect();
         let set = |held: &Vec<u16>| {
-            let mut set = vec![Vec::new(); ranks];
             let rest = (0..experts as u16).filter(|expert| !held.contains(expert));
-            for (expert, other) in rest.zip(others.iter().cycle()) {
-                set[*other].push(expert);
-            }
+            let mut set = deal(ranks, &others, rest);
             set[rank].clone_from(held);
             set
         };
@@ -105,6 +101,15 @@
     }
 }
 
+/// Experts by rank, dealt in turn to some of the ranks.
+fn deal(ranks: usize, to: &[usize], experts: impl Iterator<Item = u16>) -> Vec<Vec<u16>> {
+    let mut set = vec![Vec::new(); ranks];
+    for (expert, rank) in experts.zip(to.iter().cycle()) {
+        set[*rank].push(expert);
+    }
+    set
+}
+
 /// One set of layers with its loads.
 struct Layer<'a> {
     tokens: &'a [f64],
--- a/components/group/src/switch/leader/mod.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -218,7 +218,7 @@
     }
 
     fn map_of(&self, rank: u32) -> u64 {
-        self.ranks.get(&rank).map_or(0, |known| known.status.report.map)
+        self.report(rank).map_or(0, |report| report.map)
     }
 
     /// Learns how long a pass lasts from the passes of a longer time.
@@ -276,6 +276,11 @@
         self.ranks.get(&rank).map(|known| &known.status.report)
     }
 
+    /// The newest reports of all ranks that were heard.
+    fn reports(&self) -> impl Iterator<Item = &Report> {
+        self.ranks.values().map(|known| &known.status.report)
+    }
+
     /// Ranks of which nothing was heard for a while, or ever.
     pub fn silent(&self, now: Duration) -> Vec<u32> {
         let quiet = |rank: &u32| {
@@ -286,7 +291,7 @@
 
     /// Number of ranks, as the known ones report it; 0 if none is known.
     fn size(&self) -> u32 {
-        self.ranks.values().map(|rank| rank.status.report.size).max().unwrap_or(0)
+        self.reports().map(|report| report.size).max().unwrap_or(0)
     }
 
     /// Whether a change is under way.
@@ -297,7 +302,7 @@
     /// What to do now.
     pub fn step(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
-        if !self.ranks.values().all(|rank| rank.status.report.open) {
+        if !self.reports().all(|report| report.open) {
             return actions;
         }
         let held = self.held();
@@ -307,7 +312,7 @@
             }
             return actions;
         }
-        let armed = self.ranks.values().any(|rank| rank.status.report.armed.is_some());
+        let armed = self.reports().any(|report| report.armed.is_some());
         if self.is_complete() && self.silent(now).is_empty() && !armed {
             self.advance(now, &mut actions);
         }
@@ -321,8 +326,7 @@
 
     /// The ranks that hold the group, with the passes.
     fn held(&self) -> Vec<(u32, u64)> {
-        let held = |(rank, known): (&u32, &Rank)| Some((*rank, known.status.report.held?));
-        self.ranks.iter().filter_map(held).collect()
+        self.reports().filter_map(|report| Some((report.rank, report.held?))).collect()
     }
 
     /// Nothing is held or armed: goes on with the plan, or makes one.
@@ -332,33 +336,35 @@
             return;
         };
         let (version, begun) = (plan.version, plan.begun);
-        let reports = || self.ranks.values().map(|rank| &rank.status.report);
-        if reports().all(|report| report.map == version) {
-            self.plan = None;
-            self.last_end = now;
+        if self.reports().all(|report| report.map == version) {
+            self.end_plan(now);
             actions.push(Action::Done(version));
             return;
         }
-        if reports().any(|report| report.map == version) {
+        if self.reports().any(|report| report.map == version) {
             // The switch is under way; the other reports are older.
             return;
         }
-        if reports().all(|report| report.prepared == version) {
-            let step = reports().map(|report| report.step).max().unwrap_or_default();
+        if self.reports().all(|report| report.prepared == version) {
+            let step = self.reports().map(|report| report.step).max().unwrap_or_default();
             let ahead = self.lead(self.ranks.len(), self.pass.max(PASS_MIN));
             self.order_hold(now, (step + ahead).max(self.last_hold + 1), actions);
             return;
         }
-        let overtaken = reports().any(|report| report.prepared > version);
+        let overtaken = self.reports().any(|report| report.prepared > version);
         if overtaken || now > begun + PREPARE_LIMIT {
-            self.plan = None;
-            self.last_end = now;
+            self.end_plan(now);
             actions.push(Action::Dropped(version));
             return;
         }
         self.order_copies(now, version, actions);
     }
 
+    fn end_plan(&mut self, now: Duration) {
+        self.plan = None;
+        self.last_end = now;
+    }
+
     /// Has the ranks copy the map of the plan that have not done so.
     fn order_copies(&mut self, now: Duration, version: u64, actions: &mut Vec<Action>) {
         let due = |rank: &&Rank| {
@@ -413,7 +419,7 @@
     /// The map in use, if it is the same on all ranks and they all told what
     /// they hold of it.
     fn current_map(&self) -> Option<Assignment> {
-        let mut versions = self.ranks.values().map(|rank| rank.status.report.map);
+        let mut versions = self.reports().map(|report| report.map);
         let version = versions.next()?;
         if versions.any(|other| other != version) {
             return None;
@@ -432,7 +438,7 @@
     /// While the group is held, ranks whose agents are silent get it directly,
     /// too.
     fn order(&mut self, now: Duration, rank: u32, order: Order, actions: &mut Vec<Action>) {
-        let is_held = !self.held().is_empty();
+        let is_held = self.reports().any(|report| report.held.is_some());
         let Some(known) = self.ranks.get_mut(&rank) else { return };
         let copies = matches!(order, Order::Prepare { .. });
         let wait = if copies && !is_held { REPEAT_PREPARE } else { REPEAT };
--- a/components/group/src/switch/leader/settle.rs
+++ b/components/group/src/switch/leader/settle.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use super::{Action, DIRECT_AFTER, Leader, REPEAT, Rank};
+use super::{Action, DIRECT_AFTER, Leader, REPEAT};
 use crate::placement::even::Assignment;
 use crate::switch::{Armed, Order, Report};
 
@@ -22,8 +22,8 @@
         step: u64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(known) = self.ranks.get(&holder) else { return };
-        match known.status.report.armed {
+        let Some(report) = self.report(holder) else { return };
+        match report.armed {
             Some(armed) if armed.step == step => self.finish(now, holder, armed, actions),
             // The pass of that switch comes first.
             Some(armed) if armed.step < step => {}
@@ -72,14 +72,12 @@
 
     /// The holder is armed, and others may be: arms all, then lets the pass begin.
     fn finish(&mut self, now: Duration, holder: u32, goal: Armed, actions: &mut Vec<Action>) {
-        if self.ranks.values().any(|known| has_passed(&known.status.report, goal.version)) {
+        if self.reports().any(|report| has_passed(report, goal.version)) {
             self.undo(now, holder, goal.version, actions);
             return;
         }
-        let lacks = |(rank, known): (&u32, &Rank)| {
-            (known.status.report.armed != Some(goal)).then_some(*rank)
-        };
-        let missing: Vec<u32> = self.ranks.iter().filter_map(lacks).collect();
+        let lacks = |report: &Report| (report.armed != Some(goal)).then_some(report.rank);
+        let missing: Vec<u32> = self.reports().filter_map(lacks).collect();
         for rank in &missing {
             let order = Order::Arm { version: goal.version, step: goal.step };
             self.order(now, *rank, order, actions);
@@ -96,7 +94,7 @@
         let others: Vec<u32> = self.ranks.keys().copied().filter(|rank| *rank != holder).collect();
         let mut done = self.is_complete();
         for rank in others {
-            let report = &self.ranks[&rank].status.report;
+            let Some(report) = self.report(rank) else { continue };
             if report.armed.is_some_and(|armed| armed.version == version) {
                 done = false;
                 self.order(now, rank, Order::Disarm { version }, actions);
@@ -113,8 +111,7 @@
     /// The holder is not armed: makes sure that it won't be, then lets the pass
     /// begin under the map in use.
     fn abandon(&mut self, now: Duration, holder: u32, step: u64, actions: &mut Vec<Action>) {
-        let Some(known) = self.ranks.get(&holder) else { return };
-        let prepared = known.status.report.prepared;
+        let Some(prepared) = self.report(holder).map(|report| report.prepared) else { return };
         if prepared == 0 || self.fences.get(&holder) == Some(&prepared) {
             self.order(now, holder, Order::Release { step }, actions);
         } else {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod port;
 pub mod process;
 pub mod ranks;
+pub mod settings;
 pub mod world;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -38,13 +38,18 @@
     path
 }
 
+/// Writes a file for a process, in a directory of its own.
+pub fn file(name: &str, text: &str) -> PathBuf {
+    let file = scratch().join(name);
+    std::fs::write(&file, text).expect("a file for a process");
+    file
+}
+
 impl Process {
     /// Starts a program with settings written to a file named `name`.
     pub fn start(program: &[&str], name: &str, settings: &impl Serialize) -> Process {
-        let file = scratch().join(format!("{name}.json"));
         let text = serde_json::to_string_pretty(settings).expect("settings as JSON");
-        std::fs::write(&file, text).expect("a settings file");
-        Process::start_file(program, &file)
+        Process::start_file(program, &file(&format!("{name}.json"), &text))
     }
 
     /// Starts a program with a settings file.
--- a/tests/tests/examples.rs
+++ b/tests/tests/examples.rs
@@ -11,7 +11,7 @@
 use system::caller;
 use system::cluster::{dump, wait_for};
 use system::port;
-use system::process::{Process, programs};
+use system::process::{Process, file, programs};
 
 /// Bearer key of the samples' only client account.
 const KEY: &str = "Bearer example-key-of-the-fitters";
@@ -80,11 +80,7 @@
 ) {
     let text = std::fs::read_to_string(samples().join(sample)).unwrap();
     assert!(text.contains(good));
-    let directory = programs().join("system-tests");
-    std::fs::create_dir_all(&directory).unwrap();
-    let name = format!("bad-{}-{place}-{check}-{sample}", std::process::id());
-    let file = directory.join(name);
-    std::fs::write(&file, text.replacen(good, bad, 1)).unwrap();
+    let file = file(&format!("bad-{place}-{check}-{sample}"), &text.replacen(good, bad, 1));
     // It ends by itself: nothing was started.
     let output = run(program, &file, check);
     let said = String::from_utf8_lossy(&output.stderr);
--- a/tests/tests/start.rs
+++ b/tests/tests/start.rs
@@ -7,8 +7,8 @@
 
 use rstest::rstest;
 use serde_json::{Value, json};
-use system::port;
-use system::process::programs;
+use system::process::{file, programs};
+use system::{port, settings};
 
 /// The settings of a sample in `examples/`, with addresses of their own.
 fn sample(file: &str) -> Value {
@@ -28,19 +28,11 @@
 }
 
 fn gateway() -> Value {
-    json!({
-        "name": "front-1", "zone": "a", "listen": port::free(), "ready": port::free(),
-        "operations": port::free(), "link": port::free(), "seeds": [], "store": port::free(),
-        "limits": { "retry_ratio": 0.2, "retry_slack": 80.0, "retry_window_ms": 10_000 },
-        "grace_ms": 8000
-    })
+    settings::gateway("front-1", port::free(), port::free(), &[])
 }
 
 fn rank() -> Value {
-    json!({
-        "name": "side-1", "rank": port::free(), "pool": "models", "link": port::free(),
-        "operations": port::free(), "store": port::free()
-    })
+    settings::rank("side-1", port::free(), port::free())
 }
 
 /// An address of another process: the daemon ends with the diagnostic alone.
@@ -61,10 +53,7 @@
     let taken = other.local_addr().unwrap();
     let plain = settings[key].as_str().is_none_or(|value| !value.starts_with("tcp://"));
     settings[key] = if plain { json!(taken) } else { address("link", taken) };
-    let directory = programs().join("system-tests");
-    std::fs::create_dir_all(&directory).unwrap();
-    let file = directory.join(format!("taken-{}-{program}-{key}.json", std::process::id()));
-    std::fs::write(&file, settings.to_string()).unwrap();
+    let file = file(&format!("taken-{program}-{key}.json"), &settings.to_string());
     let output =
         Command::new(programs().join(program)).arg("--settings").arg(&file).output().unwrap();
     let said = String::from_utf8_lossy(&output.stderr);
