Have agents tell their ranks' addresses; a leader finishes a change beside a frozen agent

Found while reading the change: passes_go_on_while_leader_is_frozen failed once, 20 s without a pass (agents' logs: the leader was stopped after the holder was armed at pass 140; the next leader armed its own rank and never the frozen agent's). Cause: addresses of silent agents' ranks came from the store's list of backend servers alone; where a rank is not listed, or the store is away, nobody could read or order it, and no log line said so. The same log shows holds that were never sent for 1.6 s after a start, until the store named the agent that had long been heard.

Now a status carries the address of its rank; ranks that never told one are read at the addresses of the agents that the store names. The list call is gone, an unknown address is logged. Ruled out: load (the new case fails each time without the change: 20 s, at a pass far ahead, with orders given by the test).

Test: change_is_finished_beside_frozen_agent, failed before; the six cases of that file passed four times in a row.

--- a/components/group/src/switch/message.rs
+++ b/components/group/src/switch/message.rs
@@ -1,5 +1,7 @@
 //! What ranks report and agents tell each other.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::placement::even::Assignment;
@@ -122,8 +124,9 @@
 /// A message between agents.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// From an agent to the one that it takes for the leader.
-    Status(Box<Status>),
+    /// From an agent to the one that it takes for the leader, with the address
+    /// at which its rank takes orders.
+    Status(SocketAddr, Box<Status>),
     /// From an agent that would lead to one that sent a status.
     Leading,
     /// From the leader to an agent.
--- a/components/rank/src/agent/lead.rs
+++ b/components/rank/src/agent/lead.rs
@@ -1,11 +1,12 @@
 //! What a leader does: orders through agents, or directly where one is silent.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use group::switch::{Action, Command, Leader, Message, Order, Tuning};
 
 use super::{Agent, BUSY};
-use crate::{afar, own};
+use crate::own;
 
 impl Agent {
     /// Carries out what follows from the reports, if this agent leads.
@@ -59,54 +60,51 @@
         }
     }
 
-    /// Reads the reports of ranks whose agents are silent.
+    /// Reads the reports of ranks whose agents are silent, or were never heard.
     pub(super) fn ask_silent(&mut self, now: Duration) {
-        let (Some(leader), Some(report)) = (&self.leader, &self.report) else { return };
+        let Some(leader) = &self.leader else { return };
         let silent = leader.silent(now);
-        if silent.is_empty() {
-            return;
+        let known = |rank: &u32| self.ranks.get(rank).copied();
+        let mut asked: Vec<SocketAddr> = silent.iter().filter_map(known).collect();
+        if asked.len() < silent.len() {
+            // A rank that never told its address is one of those that the
+            // store names.
+            let heard: Vec<SocketAddr> = self.ranks.values().copied().collect();
+            let named = self.described.values().map(|agent| agent.address);
+            asked.extend(named.filter(|address| !heard.contains(address)));
         }
-        let (pool, remote, client) = (self.pool.clone(), self.remote.clone(), self.client.clone());
-        let group = report.group.clone();
-        actix_rt::spawn(async move {
-            let addresses = afar::addresses(&client, &group).await;
-            for rank in silent {
-                let Some(address) = addresses.get(&rank) else { continue };
-                match own::report(&pool, *address).await {
-                    Ok(report) => drop(remote.send(report)),
-                    Err(error) => log::info!(target: "leader", rank = rank, address:% = address,
+        for address in asked {
+            let (pool, remote) = (self.pool.clone(), self.remote.clone());
+            actix_rt::spawn(async move {
+                match own::report(&pool, address).await {
+                    Ok(report) => drop(remote.send((address, report))),
+                    Err(error) => log::info!(target: "leader", address:% = address,
                         error:% = error; "rank of a silent agent not read"),
                 }
-            }
-        });
+            });
+        }
     }
 
     /// Gives an order to a rank without its agent. The effect of a hold is told
     /// by that rank's agent; of a rank whose agent is silent it is read here.
     fn order_directly(&mut self, epoch: u64, rank: u32, order: Order) {
-        let (Some(report), Some(leader)) = (&self.report, &self.leader) else { return };
-        let known = self.links.get(&rank).and_then(|link| {
-            self.described.values().find(|agent| agent.link == *link).map(|agent| agent.address)
-        });
-        let sequence = leader.report(rank).map_or(0, |report| report.sequence);
+        let Some(address) = self.ranks.get(&rank).copied() else {
+            log::warn!(target: "leader", rank = rank, order:% = own::name(&order);
+                "rank not ordered, its address is not known yet");
+            return;
+        };
+        let known = self.leader.as_ref().and_then(|leader| leader.report(rank));
+        let sequence = known.map_or(0, |report| report.sequence);
         log::info!(target: "leader", rank = rank, order:% = own::name(&order);
             "ordering a rank directly");
-        let (pool, remote, client) = (self.pool.clone(), self.remote.clone(), self.client.clone());
-        let group = report.group.clone();
+        let (pool, remote) = (self.pool.clone(), self.remote.clone());
         actix_rt::spawn(async move {
-            let address = match known {
-                Some(address) => address,
-                None => match afar::addresses(&client, &group).await.get(&rank) {
-                    Some(address) => *address,
-                    None => return,
-                },
-            };
             if matches!(order, Order::Hold { .. }) {
                 own::order(&pool, address, epoch, sequence, &order).await;
                 return;
             }
             match own::give(&pool, address, epoch, &order).await {
-                Ok(report) => drop(remote.send(report)),
+                Ok(report) => drop(remote.send((address, report))),
                 Err(error) => log::info!(target: "leader", rank = rank, address:% = address,
                     error:% = error; "no report after a direct order"),
             }
--- a/components/rank/src/agent/mod.rs
+++ b/components/rank/src/agent/mod.rs
@@ -3,13 +3,13 @@
 mod lead;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use balance::content::{Agent as Described, Content};
 use connection::Pool;
 use group::switch::{Leader, Message, Model, Order, Report, Status};
-use platform::Client;
 use tables::Name;
 use tokio::sync::mpsc;
 use wire::{Frame, Link};
@@ -58,13 +58,14 @@
     settings: Settings,
     started: Instant,
     pool: Rc<Pool>,
-    client: Client,
     link: Link,
     follow: Follow,
     described: BTreeMap<Name, Described>,
     model: Option<Model>,
     leader: Option<Leader>,
     links: BTreeMap<u32, Name>,
+    /// Addresses of ranks, as they or their agents told.
+    ranks: BTreeMap<u32, SocketAddr>,
     heard: BTreeMap<Name, Duration>,
     report: Option<Report>,
     experts: Option<(u64, u64, Vec<Vec<u16>>)>,
@@ -74,7 +75,7 @@
     pending: Option<Pending>,
     busy_until: Duration,
     due: Due,
-    remote: mpsc::UnboundedSender<Report>,
+    remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
 }
 
 /// An order whose effect has not shown yet.
@@ -100,29 +101,28 @@
     Frame(Frame),
     /// The agents that the store names, and the model that the group serves.
     Known(Vec<(Name, Content)>, Option<Model>),
-    /// The report of a rank whose agent is silent.
-    Remote(Report),
+    /// Address and report of a rank whose agent is silent.
+    Remote(SocketAddr, Report),
 }
 
 impl Agent {
     /// An agent that knows nothing yet. Remote reports go to `remote`.
     pub fn new(
         settings: Settings,
-        client: Client,
         link: Link,
-        remote: mpsc::UnboundedSender<Report>,
+        remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
     ) -> Agent {
         Agent {
             follow: Follow::new(settings.name.clone()),
             settings,
             started: Instant::now(),
             pool: Rc::default(),
-            client,
             link,
             described: BTreeMap::new(),
             model: None,
             leader: None,
             links: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             heard: BTreeMap::new(),
             report: None,
             experts: None,
@@ -178,7 +178,7 @@
         }
         for earlier in earlier {
             if let Some(status) = self.status(None) {
-                self.send(&earlier, Message::Status(Box::new(status)));
+                self.send(&earlier, Message::Status(self.settings.rank, Box::new(status)));
             }
         }
         let fresh = self.demand.is_some() && !self.follow.leads();
@@ -288,7 +288,7 @@
         if self.follow.leads() {
             self.hear_status(status);
         } else if let Some(leader) = self.follow.leader().cloned() {
-            self.send(&leader, Message::Status(Box::new(status)));
+            self.send(&leader, Message::Status(self.settings.rank, Box::new(status)));
         }
     }
 
@@ -321,7 +321,8 @@
                 }
             }
             Event::Known(agents, model) => self.take_known(agents, model),
-            Event::Remote(report) => {
+            Event::Remote(address, report) => {
+                self.ranks.insert(report.rank, address);
                 let status = Status { report, experts: None, demand: None };
                 let now = self.now();
                 if let Some(leader) = &mut self.leader {
@@ -334,8 +335,9 @@
     async fn take_message(&mut self, sender: &wire::Sender, message: Message) {
         let now = self.now();
         match message {
-            Message::Status(status) => {
+            Message::Status(address, status) => {
                 if self.follow.leads() {
+                    self.ranks.insert(status.report.rank, address);
                     self.links.insert(status.report.rank, sender.link.clone());
                     let heard = self.heard.insert(sender.name.clone(), now);
                     self.hear_status(*status);
--- a/components/rank/src/lib.rs
+++ b/components/rank/src/lib.rs
@@ -3,7 +3,6 @@
 //! The decisions are those of [`group::switch::Leader`]; this crate reads the
 //! rank's reports, gives it orders, and decides by silence whom to follow.
 
-mod afar;
 mod agent;
 mod follow;
 mod own;
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -48,14 +48,14 @@
     let (remote, mut reports) = mpsc::unbounded_channel();
     let forward = events.clone();
     actix_rt::spawn(async move {
-        while let Some(report) = reports.recv().await {
-            let _ = forward.send(Event::Remote(report));
+        while let Some((address, report)) = reports.recv().await {
+            let _ = forward.send(Event::Remote(address, report));
         }
     });
     let urls = vec![format!("http://{}", settings.store).into()];
     let client = Client::new(urls, registry::ANSWER_TIMEOUT);
-    actix_rt::spawn(look(settings.clone(), client.clone(), events));
-    let agent = Agent::new(settings.clone(), client, link, remote);
+    actix_rt::spawn(look(settings.clone(), client, events));
+    let agent = Agent::new(settings.clone(), link, remote);
     actix_rt::spawn(agent.run(received));
     actix_rt::spawn(daemon::hangups(|| {
         log::info!(target: "settings", "told to reload; changes need a restart");
