Change the map by what copies in the time of the rest; forget readings once demand turns

Cause: a change was planned for the whole balance. Where a rank copies an expert in 0.4 s (further) it was in use after 2.0 to 3.3 s, at a demand that turns every 3.9 s; the demand was known with a half-life of 0.5 s besides, and the pass of the switch lay four passes ahead although all ranks were armed within 102 ms.

The popularity by place stays (0.23, 0.09, 0.06 ...), who holds the places is dealt anew; half of the new leaders were among earlier ones when half of all experts had been, so nothing comes back. A placement for demands seen before can't help.

Now: the configuration's expert size and link give the copy time; one change brings a rank as many experts as copy in the time that the rest of a change took lately; the sets share them, the worst set first; a copy may be given up for nothing. A reading three times as far off as usual makes the leader forget older ones. The pass of the switch follows from how long arming took lately. The pass that counts as long is half of the routes' pause, not 60 ms.

Ruled out: a resting placement for past demands (above).

The walk's model of demand is random at each reading, so it reads a window a tick to meet as many changes.

--- a/components/balance/src/config.rs
+++ b/components/balance/src/config.rs
@@ -39,6 +39,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is on time.
     pub objective: Duration,
+    /// Longest pause between two events for which a stream is on time.
+    pub gap: Option<Duration>,
     /// Most backend servers to which one request may be sent.
     pub attempts: u32,
     /// Rank among routes; 0 is the most urgent.
@@ -121,6 +123,8 @@
     pub places: u32,
     /// Most experts of a set that a change brings to a rank.
     pub fresh: u32,
+    /// Time in which a rank copies one expert; nothing if it isn't known.
+    pub copy: Option<Duration>,
 }
 
 /// A client account.
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -38,6 +38,7 @@
         objective: ms(400),
         attempts: 3,
         priority: 1,
+        gap: None,
         public: false,
     };
     let cold = Pool { cold_rate: 10.0, engine: None };
--- /dev/null
+++ b/components/group/src/placement/demand.rs
@@ -0,0 +1,122 @@
+//! Which experts the requests of a group choose, from readings of its ranks.
+
+use std::time::Duration;
+
+/// Distance of a reading from the demand so far, as a multiple of the usual
+/// one, from which on other experts are in demand and old readings mislead.
+const TURN: f64 = 3.0;
+
+/// Least distance that counts as usual: readings are never exactly alike.
+const USUAL_MIN: f64 = 0.03;
+
+/// Share of the newest distance in the usual one.
+const USUAL_WEIGHT: f64 = 0.2;
+
+/// Tokens by set of layers and expert. Readings lose half their weight in a
+/// half-life, and all of it once the demand turns.
+///
+/// ```
+/// use std::time::Duration;
+/// use group::placement::demand::Demand;
+/// let mut demand = Demand::new(1, 2, Duration::from_millis(500), Duration::from_millis(200));
+/// for tenth in 0..20 {
+///     demand.note(Duration::from_millis(100 * tenth), &[vec![90, 10]]);
+/// }
+/// assert!(demand.tokens()[0][0] > 5.0 * demand.tokens()[0][1]);
+/// let turned = (20..24).any(|tenth| {
+///     demand.note(Duration::from_millis(100 * tenth), &[vec![10, 90]])
+/// });
+/// assert!(turned && demand.tokens()[0][1] > demand.tokens()[0][0]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Demand {
+    half_life: Duration,
+    window: Duration,
+    tokens: Vec<Vec<f64>>,
+    latest: Vec<Vec<f64>>,
+    begun: Duration,
+    aged: Duration,
+    usual: Option<f64>,
+}
+
+impl Demand {
+    /// No demand so far. `window` is the time in which each rank that is read
+    /// tells its choices once.
+    pub fn new(sets: usize, experts: usize, half_life: Duration, window: Duration) -> Demand {
+        let none = vec![vec![0.0; experts]; sets];
+        Demand {
+            half_life,
+            window,
+            tokens: none.clone(),
+            latest: none,
+            begun: Duration::ZERO,
+            aged: Duration::ZERO,
+            usual: None,
+        }
+    }
+
+    /// Takes in the choices of one rank since its reading before. Returns
+    /// whether other experts than before are in demand.
+    pub fn note(&mut self, now: Duration, choices: &[Vec<u32>]) -> bool {
+        let turned = now >= self.begun + self.window && self.close_window(now);
+        for (known, more) in self.latest.iter_mut().zip(choices) {
+            for (known, more) in known.iter_mut().zip(more) {
+                *known += f64::from(*more);
+            }
+        }
+        turned
+    }
+
+    /// Adds the readings of the window that is over to the demand.
+    fn close_window(&mut self, now: Duration) -> bool {
+        self.age(now);
+        self.begun = now;
+        let distance = distance(&self.tokens, &self.latest);
+        let usual = self.usual.map(|usual| usual.max(USUAL_MIN));
+        let turned = distance.zip(usual).is_some_and(|(distance, usual)| distance > TURN * usual);
+        if turned {
+            self.tokens.iter_mut().flatten().for_each(|tokens| *tokens = 0.0);
+        } else if let Some(distance) = distance {
+            let usual = self.usual.unwrap_or(distance);
+            self.usual = Some(usual + USUAL_WEIGHT * (distance - usual));
+        }
+        for (known, more) in self.tokens.iter_mut().flatten().zip(self.latest.iter_mut().flatten())
+        {
+            *known += std::mem::take(more);
+        }
+        turned
+    }
+
+    /// Takes off the weight that readings have lost until now.
+    pub fn age(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.aged).as_secs_f64();
+        self.aged = self.aged.max(now);
+        let factor = 0.5_f64.powf(age / self.half_life.as_secs_f64());
+        self.tokens.iter_mut().flatten().for_each(|tokens| *tokens *= factor);
+    }
+
+    /// Tokens by set of layers and expert, of all windows that are over.
+    pub fn tokens(&self) -> &[Vec<f64>] {
+        &self.tokens
+    }
+
+    /// Tokens of a set of layers, on average.
+    pub fn weight(&self) -> f64 {
+        self.tokens.iter().flatten().sum::<f64>() / self.tokens.len().max(1) as f64
+    }
+}
+
+/// The part of the tokens that would have to go to other experts to turn one
+/// demand into the other, from 0 to 1; nothing if one of them is empty.
+fn distance(one: &[Vec<f64>], other: &[Vec<f64>]) -> Option<f64> {
+    let mut sum = 0.0;
+    for (one, other) in one.iter().zip(other) {
+        let (all, others) = (one.iter().sum::<f64>(), other.iter().sum::<f64>());
+        if all <= 0.0 || others <= 0.0 {
+            return None;
+        }
+        let moved = one.iter().zip(other).map(|(one, other)| (one / all - other / others).abs());
+        sum += moved.sum::<f64>() / 2.0;
+    }
+    Some(sum / one.len().max(1) as f64)
+}
--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Improvements tried in a set of layers before a plan is taken as it is.
+/// Improvements a set of layers, on average, after which a plan is taken as it
+/// is.
 const ROUNDS: usize = 160;
 
 /// Ranks that are tried as new holders, idlest first.
@@ -22,6 +23,9 @@
     pub places: usize,
     /// Most experts of a set that are new to a rank.
     pub fresh: usize,
+    /// Most experts that are new to a rank, over all sets: it copies them one
+    /// after the other.
+    pub copies: usize,
     /// Improvement of the busiest rank below which a step isn't worth its copy,
     /// as a part of the mean load.
     pub gain: f64,
@@ -80,24 +84,49 @@
     /// ```
     /// use group::placement::even::{Assignment, Bounds};
     /// let map = Assignment::dealt(2, 1, 2);
-    /// let better = map.improved(&[vec![3.0, 1.0]], Bounds { places: 2, fresh: 1, gain: 0.01 });
+    /// let bounds = Bounds { places: 2, fresh: 1, copies: 1, gain: 0.01 };
+    /// let better = map.improved(&[vec![3.0, 1.0]], bounds);
     /// assert_eq!(better.skew(&[vec![3.0, 1.0]]), 1.0);
     /// ```
     pub fn improved(&self, demand: &[Vec<f64>], bounds: Bounds) -> Assignment {
-        let sets = self.sets.iter().zip(demand).map(|(set, tokens)| {
-            let mut layer = Layer::new(set, tokens);
-            let mut used = vec![0; set.len()];
-            for _ in 0..ROUNDS {
-                let Some(step) = layer.best(&used, bounds) else { break };
-                used[step.to] += 1;
-                if matches!(step.exchange, Exchange::Swap(_)) {
-                    used[step.from] += 1;
-                }
-                layer.apply(step);
+        let ranks = self.sets.first().map_or(0, Vec::len);
+        let mut copied = vec![0; ranks];
+        let mut layers: Vec<Layer<'_>> =
+            self.sets.iter().zip(demand).map(|(set, tokens)| Layer::new(set, tokens)).collect();
+        let mut open: Vec<usize> = (0..layers.len()).collect();
+        for _ in 0..ROUNDS * layers.len() {
+            // The set that delays the pass most.
+            let worst = |one: &&usize, other: &&usize| {
+                layers[**one].excess().total_cmp(&layers[**other].excess())
+            };
+            let Some(&set) = open.iter().max_by(worst) else { break };
+            match layers[set].best(&copied, bounds) {
+                Some(step) => layers[set].apply(step, &mut copied),
+                None => open.retain(|other| *other != set),
             }
-            layer.into_ranks()
-        });
-        Assignment { sets: sets.collect() }
+        }
+        Assignment { sets: layers.into_iter().map(Layer::into_ranks).collect() }
+    }
+
+    /// The most experts that are new to one rank, over all sets, against an
+    /// assignment before.
+    ///
+    /// ```
+    /// use group::placement::even::Assignment;
+    /// let before = Assignment { sets: vec![vec![vec![0], vec![1]]] };
+    /// let after = Assignment { sets: vec![vec![vec![0, 1], vec![1]]] };
+    /// assert_eq!(after.copies(&before), 1);
+    /// ```
+    pub fn copies(&self, before: &Assignment) -> usize {
+        let ranks = self.sets.first().map_or(0, Vec::len);
+        let fresh = |rank: usize| -> usize {
+            let sets = self.sets.iter().zip(&before.sets);
+            sets.map(|(set, before)| {
+                set[rank].iter().filter(|expert| !before[rank].contains(expert)).count()
+            })
+            .sum()
+        };
+        (0..ranks).map(fresh).max().unwrap_or(0)
     }
 }
 
@@ -116,6 +145,9 @@
     held: Vec<Vec<u16>>,
     holders: Vec<Vec<usize>>,
     loads: Vec<f64>,
+    mean: f64,
+    /// Experts of the set that are new to each rank.
+    fresh: Vec<usize>,
 }
 
 /// An expert gets a new holder.
@@ -141,6 +173,29 @@
     MoveOver(u16),
     /// The ranks exchange two experts.
     Swap(u16),
+    /// Nobody takes the expert: the relieved rank gives up one of its copies.
+    Drop,
+}
+
+impl Step {
+    /// The other expert that changes its holders.
+    fn other(&self) -> Option<u16> {
+        match self.exchange {
+            Exchange::CopyOver(other) | Exchange::MoveOver(other) | Exchange::Swap(other) => {
+                Some(other)
+            }
+            Exchange::Copy | Exchange::Move | Exchange::Drop => None,
+        }
+    }
+
+    /// The ranks that copy an expert.
+    fn copying(&self) -> [Option<usize>; 2] {
+        match self.exchange {
+            Exchange::Drop => [None, None],
+            Exchange::Swap(_) => [Some(self.to), Some(self.from)],
+            _ => [Some(self.to), None],
+        }
+    }
 }
 
 impl<'a> Layer<'a> {
@@ -151,11 +206,18 @@
                 holders[usize::from(*expert)].push(rank);
             }
         }
-        let mut layer = Layer { tokens, held: set.to_vec(), holders, loads: Vec::new() };
+        let mean = tokens.iter().sum::<f64>() / set.len().max(1) as f64;
+        let (loads, fresh) = (Vec::new(), vec![0; set.len()]);
+        let mut layer = Layer { tokens, held: set.to_vec(), holders, loads, mean, fresh };
         layer.loads = (0..set.len()).map(|rank| layer.load(rank)).collect();
         layer
     }
 
+    /// Load of the busiest rank beyond the mean.
+    fn excess(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max) - self.mean
+    }
+
     fn load(&self, rank: usize) -> f64 {
         self.held[rank].iter().map(|expert| self.share(*expert)).sum()
     }
@@ -174,17 +236,24 @@
     }
 
     /// The step that relieves the busiest rank most.
-    fn best(&self, used: &[usize], bounds: Bounds) -> Option<Step> {
-        let ranks = self.loads.len();
-        let mut order: Vec<usize> = (0..ranks).collect();
-        order.sort_by(|one, other| self.loads[*one].total_cmp(&self.loads[*other]));
+    fn best(&self, copied: &[usize], bounds: Bounds) -> Option<Step> {
+        let mut order: Vec<usize> = (0..self.loads.len()).collect();
+        order.sort_unstable_by(|one, other| self.loads[*one].total_cmp(&self.loads[*other]));
         let busiest = *order.last()?;
-        let mean = self.loads.iter().sum::<f64>() / ranks as f64;
+        let may_copy =
+            |rank: usize| self.fresh[rank] < bounds.fresh && copied[rank] < bounds.copies;
         let mut chosen: Option<(f64, Step)> = None;
         for &expert in &self.held[busiest] {
+            if self.copies(expert) > 1 {
+                let step = Step { expert, from: busiest, to: busiest, exchange: Exchange::Drop };
+                let peak = self.peak_after(step);
+                if chosen.is_none_or(|(least, _)| peak < least) {
+                    chosen = Some((peak, step));
+                }
+            }
             let open = order
                 .iter()
-                .filter(|rank| used[**rank] < bounds.fresh && !self.held[**rank].contains(&expert));
+                .filter(|rank| may_copy(**rank) && !self.held[**rank].contains(&expert));
             for &to in open.take(TARGETS) {
                 let mut try_exchange = |exchange| {
                     let step = Step { expert, from: busiest, to, exchange };
@@ -203,14 +272,14 @@
                         try_exchange(Exchange::CopyOver(other));
                         try_exchange(Exchange::MoveOver(other));
                     }
-                    if used[busiest] < bounds.fresh && !self.held[busiest].contains(&other) {
+                    if may_copy(busiest) && !self.held[busiest].contains(&other) {
                         try_exchange(Exchange::Swap(other));
                     }
                 }
             }
         }
         let (peak, step) = chosen?;
-        (peak + mean * bounds.gain < self.loads[busiest]).then_some(step)
+        (peak + self.mean * bounds.gain < self.loads[busiest]).then_some(step)
     }
 
     /// The highest load among the ranks that a step touches.
@@ -221,6 +290,7 @@
             Exchange::CopyOver(other) => (false, Some(other)),
             Exchange::MoveOver(other) => (true, Some(other)),
             Exchange::Swap(other) => return self.peak_after_swap(step, other),
+            Exchange::Drop => return self.peak_after_drop(step),
         };
         let before = self.share(step.expert);
         let after = self.share_of(step.expert, self.copies(step.expert) + usize::from(!leaves));
@@ -252,23 +322,52 @@
         (self.loads[step.from] - change).max(self.loads[step.to] + change)
     }
 
-    fn apply(&mut self, step: Step) {
+    /// The relieved rank gives up an expert that others hold, too.
+    fn peak_after_drop(&self, step: Step) -> f64 {
+        let copies = self.copies(step.expert);
+        let more = self.share_of(step.expert, copies - 1) - self.share(step.expert);
+        let others = self.holders[usize::from(step.expert)].iter().filter(|one| **one != step.from);
+        let peaks = others.map(|rank| self.loads[*rank] + more);
+        peaks.fold(self.loads[step.from] - self.share(step.expert), f64::max)
+    }
+
+    /// Takes a step and counts what it copies.
+    fn apply(&mut self, step: Step, copied: &mut [usize]) {
+        let mut touched = self.holders[usize::from(step.expert)].clone();
+        if let Some(other) = step.other() {
+            touched.extend(&self.holders[usize::from(other)]);
+        }
+        touched.extend([step.from, step.to]);
+        for rank in step.copying().into_iter().flatten() {
+            self.fresh[rank] += 1;
+            copied[rank] += 1;
+        }
         match step.exchange {
-            Exchange::Copy => {}
-            Exchange::Move => self.remove(step.expert, step.from),
-            Exchange::CopyOver(other) => self.remove(other, step.to),
+            Exchange::Copy => self.add(step.expert, step.to),
+            Exchange::Drop => self.remove(step.expert, step.from),
+            Exchange::Move => self.replace(step.expert, step.from, step.to),
+            Exchange::CopyOver(other) => {
+                self.remove(other, step.to);
+                self.add(step.expert, step.to);
+            }
             Exchange::MoveOver(other) => {
-                self.remove(step.expert, step.from);
                 self.remove(other, step.to);
+                self.replace(step.expert, step.from, step.to);
             }
             Exchange::Swap(other) => {
-                self.remove(step.expert, step.from);
-                self.remove(other, step.to);
-                self.add(other, step.from);
+                self.replace(step.expert, step.from, step.to);
+                self.replace(other, step.to, step.from);
             }
         }
-        self.add(step.expert, step.to);
-        self.loads = (0..self.held.len()).map(|rank| self.load(rank)).collect();
+        for rank in touched {
+            self.loads[rank] = self.load(rank);
+        }
+    }
+
+    /// Moves an expert to another rank.
+    fn replace(&mut self, expert: u16, from: usize, to: usize) {
+        self.remove(expert, from);
+        self.add(expert, to);
     }
 
     fn add(&mut self, expert: u16, rank: usize) {
--- a/components/group/src/placement/mod.rs
+++ b/components/group/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! without moving weights.
 
 mod baseline;
+pub mod demand;
 pub mod even;
 mod map;
 mod planner;
--- a/components/group/src/switch/leader/mod.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::placement::demand::Demand;
 use crate::placement::even::{Assignment, Bounds};
 use crate::switch::{Order, Report, Status};
 
@@ -42,6 +43,8 @@
 pub struct Tuning {
     /// Time over which demand loses half its weight.
     pub half_life: Duration,
+    /// Time in which each rank that is read tells its choices once.
+    pub window: Duration,
     /// Least time between the ends of two changes.
     pub pause: Duration,
     /// Least fall of the skew for which a change is made, while passes are
@@ -49,13 +52,10 @@
     pub least_gain: (f64, f64),
     /// Least improvement for which a single expert is copied, in both cases.
     pub step_gain: (f64, f64),
-    /// Pass from which on passes count as long: half of the pause that callers
-    /// accept between events.
-    pub long_pass: Duration,
-    /// Time between a hold and the pass of the switch, for a group of one rank.
-    pub lead: Duration,
+    /// Time that it takes to arm a group of one rank, before any was seen.
+    pub arming: Duration,
     /// What each further rank adds to it.
-    pub lead_per_rank: Duration,
+    pub arming_per_rank: Duration,
     /// Tokens without which nothing is planned.
     pub least_tokens: f64,
 }
@@ -64,12 +64,12 @@
     fn default() -> Tuning {
         Tuning {
             half_life: Duration::from_millis(500),
+            window: Duration::from_millis(200),
             pause: Duration::from_millis(100),
             least_gain: (0.3, 0.15),
             step_gain: (0.08, 0.03),
-            long_pass: Duration::from_millis(60),
-            lead: Duration::from_millis(180),
-            lead_per_rank: Duration::from_millis(2),
+            arming: Duration::from_millis(180),
+            arming_per_rank: Duration::from_millis(2),
             least_tokens: 2000.0,
         }
     }
@@ -84,6 +84,11 @@
     pub experts: usize,
     /// What a change may do.
     pub bounds: Bounds,
+    /// Time in which a rank copies one expert.
+    pub copy: Duration,
+    /// Pause between events that callers accept. Passes of more than half of it
+    /// count as long.
+    pub pause: Duration,
 }
 
 /// A map on its way.
@@ -95,7 +100,11 @@
     pub map: Assignment,
     /// Skew before and after, for the demand at the time.
     pub skew: (f64, f64),
+    /// Most experts that one rank copies.
+    pub copies: usize,
     begun: Duration,
+    /// When the pass of the switch was first held.
+    held: Option<Duration>,
     /// The rank that holds the group for this change.
     holder: Option<u32>,
     /// Passes at which the holder was told to hold, for this change alone.
@@ -136,8 +145,7 @@
     own: u32,
     epoch: u64,
     ranks: BTreeMap<u32, Rank>,
-    demand: Vec<Vec<f64>>,
-    decayed: Duration,
+    demand: Demand,
     plan: Option<Plan>,
     last_end: Duration,
     highest: u64,
@@ -146,6 +154,10 @@
     fences: BTreeMap<u32, u64>,
     pass: Duration,
     paced: Option<(u64, Duration)>,
+    /// Time between a hold and the last rank's arming, as it was lately.
+    arming: Option<Duration>,
+    /// Duration of a change besides copying, as it was lately.
+    overhead: Option<Duration>,
 }
 
 impl Leader {
@@ -158,8 +170,7 @@
             own,
             epoch: 0,
             ranks: BTreeMap::new(),
-            demand: vec![vec![0.0; model.experts]; model.sets],
-            decayed: Duration::ZERO,
+            demand: Demand::new(model.sets, model.experts, tuning.half_life, tuning.window),
             plan: None,
             last_end: Duration::ZERO,
             highest: 0,
@@ -167,6 +178,8 @@
             fences: BTreeMap::new(),
             pass: PASS_FIRST,
             paced: None,
+            arming: None,
+            overhead: None,
         }
     }
 
@@ -198,11 +211,8 @@
         if status.report.rank == self.own {
             self.note_pace(now, status.report.step);
         }
-        self.decay(now);
-        for (known, more) in self.demand.iter_mut().zip(status.demand.iter().flatten()) {
-            for (known, more) in known.iter_mut().zip(more) {
-                *known += f64::from(*more);
-            }
+        if let Some(choices) = &status.demand {
+            self.demand.note(now, choices);
         }
         let rank = status.report.rank;
         let experts = status.experts.is_none() && status.report.map == self.map_of(rank);
@@ -253,13 +263,6 @@
         self.paced = None;
     }
 
-    fn decay(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.decayed).as_secs_f64();
-        self.decayed = self.decayed.max(now);
-        let factor = 0.5_f64.powf(age / self.tuning.half_life.as_secs_f64());
-        self.demand.iter_mut().flatten().for_each(|tokens| *tokens *= factor);
-    }
-
     /// Forgets the plan, since somebody else leads.
     pub fn step_down(&mut self) {
         self.plan = None;
@@ -337,6 +340,7 @@
         };
         let (version, begun) = (plan.version, plan.begun);
         if self.reports().all(|report| report.map == version) {
+            self.note_overhead(now);
             self.end_plan(now);
             actions.push(Action::Done(version));
             return;
@@ -385,27 +389,62 @@
     /// Passes between the last report and the pass of a switch: enough for all
     /// ranks to be armed before the pass is due, so that nobody waits.
     fn lead(&self, ranks: usize, pass: Duration) -> u64 {
-        let wanted = self.tuning.lead + self.tuning.lead_per_rank * ranks as u32;
-        (wanted.as_secs_f64() / pass.as_secs_f64()).ceil() as u64 + 1
+        let wanted = self.arming.unwrap_or_else(|| self.arming_at_first(ranks));
+        (wanted.as_secs_f64() / pass.as_secs_f64()) as u64 + 2
+    }
+
+    fn arming_at_first(&self, ranks: usize) -> Duration {
+        self.tuning.arming + self.tuning.arming_per_rank * ranks as u32
+    }
+
+    /// All ranks are armed: learns how long that took.
+    fn note_arming(&mut self, now: Duration) {
+        let Some(held) = self.plan.as_mut().and_then(|plan| plan.held.take()) else { return };
+        self.arming = Some(smoothed(self.arming, now - held));
+    }
+
+    /// A change is over: learns how long it took besides copying.
+    fn note_overhead(&mut self, now: Duration) {
+        let Some(plan) = &self.plan else { return };
+        let copying = self.model.copy * plan.copies as u32;
+        let overhead = (now - plan.begun).saturating_sub(copying);
+        self.overhead = Some(smoothed(self.overhead, overhead));
+    }
+
+    /// Experts that a rank may copy in one change: as many as take no longer
+    /// than the rest of the change. More of them delay the first relief, fewer
+    /// spend most of the time on the rest.
+    fn copies(&self) -> usize {
+        let overhead = self.overhead.unwrap_or_else(|| self.arming_at_first(self.ranks.len()));
+        let copies = overhead.as_secs_f64() / self.model.copy.as_secs_f64();
+        (copies as usize).max(1)
     }
 
     fn make_plan(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        self.decay(now);
-        let tokens: f64 = self.demand.iter().flatten().sum::<f64>() / self.model.sets.max(1) as f64;
-        if now < self.last_end + self.tuning.pause || tokens < self.tuning.least_tokens {
+        self.demand.age(now);
+        if now < self.last_end + self.tuning.pause
+            || self.demand.weight() < self.tuning.least_tokens
+        {
             return;
         }
         let Some(current) = self.current_map() else { return };
-        let long = self.pass >= self.tuning.long_pass;
+        let demand = self.demand.tokens();
+        let long = self.pass >= self.model.pause / 2;
         let choose = |(short, other): (f64, f64)| if long { other } else { short };
-        let bounds = Bounds { gain: choose(self.tuning.step_gain), ..self.model.bounds };
-        let map = current.improved(&self.demand, bounds);
-        let skew = (current.skew(&self.demand), map.skew(&self.demand));
+        let bounds = Bounds {
+            gain: choose(self.tuning.step_gain),
+            copies: self.copies(),
+            ..self.model.bounds
+        };
+        let map = current.improved(demand, bounds);
+        let skew = (current.skew(demand), map.skew(demand));
         if skew.0 - skew.1 < choose(self.tuning.least_gain) {
             return;
         }
         let version = self.next_version();
-        let plan = Plan { version, map, skew, begun: now, holder: None, holds: Vec::new() };
+        let copies = map.copies(&current);
+        let (holder, holds, held) = (None, Vec::new(), None);
+        let plan = Plan { version, map, skew, copies, begun: now, held, holder, holds };
         actions.push(Action::Planned(plan.clone()));
         self.plan = Some(plan);
         self.advance(now, actions);
@@ -455,3 +494,8 @@
         actions.push(Action::Order(rank, order));
     }
 }
+
+/// A mean of durations in which the newest one counts most.
+fn smoothed(known: Option<Duration>, newest: Duration) -> Duration {
+    known.map_or(newest, |known| (known + newest) / 2)
+}
--- a/components/group/src/switch/leader/settle.rs
+++ b/components/group/src/switch/leader/settle.rs
@@ -52,6 +52,7 @@
             return;
         }
         plan.holds.push(step);
+        plan.held.get_or_insert(now);
         self.last_hold = step;
         let order = Order::Hold { step };
         known.sent = Some((order.clone(), now));
@@ -83,6 +84,7 @@
             self.order(now, *rank, order, actions);
         }
         if missing.is_empty() && self.is_complete() {
+            self.note_arming(now);
             self.order(now, holder, Order::Release { step: goal.step }, actions);
         }
     }
--- /dev/null
+++ b/components/group/tests/demand.rs
@@ -0,0 +1,48 @@
+//! What is known of the demand for experts.
+
+use std::time::Duration;
+
+use group::placement::demand::Demand;
+
+const WINDOW: Duration = Duration::from_millis(200);
+
+fn demand() -> Demand {
+    Demand::new(2, 3, Duration::from_millis(500), WINDOW)
+}
+
+/// Tells readings for some windows. Returns in which the demand turned.
+fn tell(demand: &mut Demand, from: u32, to: u32, reading: impl Fn(u32) -> [u32; 3]) -> Vec<u32> {
+    let turned = |window: &u32| {
+        let reading = reading(*window).to_vec();
+        demand.note(WINDOW * *window, &[reading.clone(), reading])
+    };
+    (from..to).filter(turned).collect()
+}
+
+#[test]
+fn note_turn_forgets_older_readings() {
+    let mut demand = demand();
+    assert!(tell(&mut demand, 0, 20, |_| [800, 150, 50]).is_empty());
+    // A window is taken in when the next one begins.
+    assert_eq!(tell(&mut demand, 20, 24, |_| [50, 150, 800]), vec![21]);
+    let tokens = &demand.tokens()[0];
+    assert!(tokens[2] > 10.0 * tokens[0], "{tokens:?}");
+}
+
+#[test]
+fn note_scatter_is_no_turn() {
+    let mut demand = demand();
+    let scattered =
+        |window: u32| if window.is_multiple_of(2) { [500, 300, 200] } else { [420, 340, 240] };
+    assert!(tell(&mut demand, 0, 40, scattered).is_empty());
+    let weight = demand.weight();
+    assert!(weight > 2000.0, "readings add up: {weight}");
+}
+
+#[test]
+fn note_empty_reading_is_no_turn() {
+    let mut demand = demand();
+    assert!(tell(&mut demand, 0, 20, |_| [800, 150, 50]).is_empty());
+    assert!(tell(&mut demand, 20, 30, |_| [0, 0, 0]).is_empty());
+    assert!(tell(&mut demand, 30, 40, |_| [800, 150, 50]).is_empty());
+}
--- a/components/group/tests/even.rs
+++ b/components/group/tests/even.rs
@@ -10,7 +10,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let tokens = || (0..72).map(|e| if e % 12 == 0 { 900.0 } else { 100.0 }).collect::<Vec<f64>>();
     let demand = vec![tokens(), (0..72).map(|_| rng.random_range(1.0..1000.0)).collect()];
-    let bounds = Bounds { places: 8, fresh: 3, gain: 0.02 };
+    let bounds = Bounds { places: 8, fresh: 3, copies: 6, gain: 0.02 };
     let better = map.improved(&demand, bounds);
     assert!(map.skew(&demand) > 2.0);
     assert!(better.skew(&demand) < 1.0 + (map.skew(&demand) - 1.0) / 2.0);
@@ -26,3 +26,29 @@
         assert_eq!(all.len(), 72, "each expert stays somewhere");
     }
 }
+
+#[test]
+fn improved_within_copies_of_rank() {
+    let map = Assignment::dealt(12, 3, 96);
+    let hot = |hot: usize| (0..96).map(|e| if e == hot { 2300.0 } else { 80.0 }).collect();
+    let demand: Vec<Vec<f64>> = vec![hot(5), hot(17), hot(40)];
+    let bounds = Bounds { places: 11, fresh: 4, copies: 1, gain: 0.02 };
+    let better = map.improved(&demand, bounds);
+    assert_eq!(better.copies(&map), 1);
+    // One copy a rank relieves the hot expert of each set.
+    for ((set, before), tokens) in better.sets.iter().zip(&map.sets).zip(&demand) {
+        let one = |set: &Vec<Vec<u16>>| Assignment { sets: vec![set.clone()] };
+        let tokens = std::slice::from_ref(tokens);
+        assert!(one(set).skew(tokens) < one(before).skew(tokens) / 1.7);
+    }
+}
+
+#[test]
+fn improved_gives_up_copies_without_copying() {
+    let map = Assignment { sets: vec![vec![vec![0, 1], vec![0, 2], vec![0, 3]]] };
+    let demand = vec![vec![30.0, 40.0, 5.0, 5.0]];
+    let bounds = Bounds { places: 2, fresh: 1, copies: 0, gain: 0.01 };
+    let better = map.improved(&demand, bounds);
+    assert_eq!(better.copies(&map), 0);
+    assert_eq!(better.sets[0], vec![vec![1], vec![0, 2], vec![0, 3]]);
+}
--- a/components/group/tests/switch_world/mod.rs
+++ b/components/group/tests/switch_world/mod.rs
@@ -13,8 +13,13 @@
 pub const RANKS: u32 = 3;
 const SETS: usize = 1;
 const EXPERTS: usize = 6;
-const MODEL: Model =
-    Model { sets: SETS, experts: EXPERTS, bounds: Bounds { places: 4, fresh: 2, gain: 0.0 } };
+const MODEL: Model = Model {
+    sets: SETS,
+    experts: EXPERTS,
+    bounds: Bounds { places: 4, fresh: 2, copies: 0, gain: 0.0 },
+    copy: Duration::from_millis(5),
+    pause: Duration::from_millis(120),
+};
 
 /// A rank as the platform's protocol describes it.
 #[derive(Clone, Debug, Default)]
@@ -255,7 +260,8 @@
 }
 
 pub fn leader(own: u32, tag: u64) -> Leader {
-    let tuning = Tuning { least_tokens: 10.0, least_gain: (0.01, 0.01), ..Tuning::default() };
+    let tuning =
+        Tuning { window: TICK, least_tokens: 10.0, least_gain: (0.01, 0.01), ..Tuning::default() };
     Leader::new(tuning, MODEL, own, tag)
 }
 
--- a/components/rank/src/agent/lead.rs
+++ b/components/rank/src/agent/lead.rs
@@ -45,7 +45,7 @@
             Action::Direct(rank, order) => self.order_directly(epoch, rank, order),
             Action::Planned(plan) => {
                 log::info!(target: "leader", version = plan.version, epoch = epoch,
-                    skew_before = plan.skew.0, skew_after = plan.skew.1; "map planned");
+                    copies = plan.copies, skew_before = plan.skew.0, skew_after = plan.skew.1; "map planned");
             }
             Action::Done(version) => {
                 log::info!(target: "leader", version = version; "map in use");
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balance::config::Config;
 use balance::content::{Agent as Described, Content, Kind};
 use connection::Pool;
 use daemon::Error;
@@ -23,6 +24,12 @@
 /// The same once all agents are known.
 const LOOK_COMPLETE: Duration = Duration::from_secs(6);
 
+/// Time to copy an expert where the configuration states none: a slow link.
+const COPY_UNKNOWN: Duration = Duration::from_secs(1);
+
+/// Pause between events that callers accept where no route states one.
+const PAUSE_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// Wait before the rank is asked again for its first report.
 const FIRST_REPORT: Duration = Duration::from_millis(200);
 
@@ -143,10 +150,32 @@
         Content::Config(config) => Some(config),
         _ => None,
     });
-    let engines = configs.into_iter().filter_map(|config| config.pools.get(pool)?.engine);
-    let experts = engines.into_iter().find_map(|engine| engine.experts)?;
-    // The leader says which gain is worth a copy.
-    let bounds =
-        Bounds { places: experts.places as usize, fresh: experts.fresh as usize, gain: 0.0 };
-    Some(Model { sets: experts.sets as usize, experts: experts.count as usize, bounds })
+    configs.into_iter().find_map(|config| served_model(&config, pool))
+}
+
+/// The model as far as maps are concerned. Figures that the configuration
+/// lacks are taken to be such that maps change seldom.
+fn served_model(config: &Config, pool: &Name) -> Option<Model> {
+    let experts = config.pools.get(pool)?.engine?.experts?;
+    let serving =
+        config.routes.iter().filter(|route| route.pools.iter().any(|(name, _)| name == pool));
+    let gap = serving.filter_map(|route| route.gap).min();
+    if experts.copy.is_none() || gap.is_none() {
+        log::warn!(target: "settings", copy_known = experts.copy.is_some(),
+            gap_known = gap.is_some(); "the configuration lacks figures of the model");
+    }
+    let bounds = Bounds {
+        places: experts.places as usize,
+        fresh: experts.fresh as usize,
+        // The leader says how much a change may copy, and for which gain.
+        copies: 0,
+        gain: 0.0,
+    };
+    Some(Model {
+        sets: experts.sets as usize,
+        experts: experts.count as usize,
+        bounds,
+        copy: experts.copy.unwrap_or(COPY_UNKNOWN),
+        pause: gap.unwrap_or(PAUSE_UNKNOWN),
+    })
 }
