Spare backend servers that say they leave, and those that ask for quiet

An answer's word that its server leaves, and the time that a refusing server asks for, were not read; the store alone told of leaving, up to 3 s late or never.

Now: both are decoded in platform/ (what can't be read is counted and ignored) and kept by start of a server, apart from the members: a description that changes, vanishes and returns forgets nothing, another start does. First attempts, retries and resumes heed both; leaving is told to the other entries in the heartbeat, a pause concerns the entry that was asked. No health checks are sent.

Tests: components/balance/tests/notice.rs with a walk over both, three cases over the stand-in; with the mechanism off all six and two of the three fail. Ruled out: marks on the members, which a vanishing row drops.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -19,6 +19,7 @@
 use crate::crash::Register;
 use crate::gossip::Work;
 use crate::member::Member;
+use crate::notice::{Notices, Start};
 use crate::pace::Pace;
 use crate::ticket::{Ask, Reason, Refusal, Target, Ticket};
 use crate::view::{Update, View};
@@ -110,6 +111,7 @@
     neighbours: BTreeMap<Name, Neighbour>,
     behind: BTreeMap<Kind, Behind>,
     crashes: Register,
+    notices: Notices,
     rng: ChaCha8Rng,
     store_heard: Option<Duration>,
     leaving: bool,
@@ -128,6 +130,7 @@
             neighbours: BTreeMap::new(),
             behind: BTreeMap::new(),
             crashes: Register::default(),
+            notices: Notices::default(),
             store_heard: None,
             leaving: false,
         }
@@ -285,10 +288,11 @@
         let engine = pool.and_then(|pool| pool.engine);
         let share = self.paces.get(&ticket.pool).map_or(1.0, |pace| pace.share(now));
         let need = Need { zone: &self.options.zone, engine: engine.as_ref(), share };
-        let view = &self.view;
+        let (view, notices) = (&self.view, &self.notices);
         let usable = |(name, member): &(&Name, &mut Member)| {
             member.server.pool == ticket.pool
                 && member.is_usable(now)
+                && !notices.is_barred(now, &member.start(name))
                 && !ticket.tried.contains(name)
                 && !view.is_zone_out(&member.server.zone)
         };
@@ -329,7 +333,20 @@
         let open = member.work(now).open;
         let work = Work { open: 1, tokens: ticket.prompt_tokens };
         member.own = member.own.plus(work);
-        Target { address: member.server.address, server, open, cold }
+        Target { address: member.server.address, born: member.server.born, server, open, cold }
+    }
+
+    /// A server says in an answer that it leaves: it gets nothing more, whatever
+    /// the store says of it, until it has started again. Returns whether that
+    /// is news.
+    pub fn note_leaving(&mut self, now: Duration, start: Start) -> bool {
+        self.notices.leave(now, start)
+    }
+
+    /// A server that turned a request away wants none for a while. Returns
+    /// whether that is news.
+    pub fn note_stay_away(&mut self, now: Duration, start: Start, wait: Duration) -> bool {
+        self.notices.stay_away(now, start, wait)
     }
 
     /// The first event or the whole answer of an attempt has come.
@@ -381,6 +398,8 @@
             self.refresh_members(now);
         }
         self.neighbours.retain(|_, other| now < other.heard + PEER_LIFETIME * 4);
+        let members = &self.members;
+        self.notices.sweep(now, |start| members.contains_key(&start.server));
     }
 
     /// The state as JSON.
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -87,6 +87,9 @@
             member.hear(now, from.clone(), loads.get(name).copied());
         }
         self.crashes.hear(now, from, &heartbeat.crashes);
+        for start in heartbeat.departing {
+            self.notices.leave(now, start);
+        }
         let mut pulls = Vec::new();
         for (kind, revision) in heartbeat.revisions {
             if self.should_pull(now, kind, revision) {
@@ -137,6 +140,7 @@
             revisions,
             load,
             crashes: self.crashes.told(),
+            departing: self.notices.told(),
             store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
             leaving: self.leaving,
         })
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -5,6 +5,7 @@
 use tables::Name;
 
 use crate::content::Kind;
+use crate::notice::Start;
 use crate::view::Delta;
 
 /// A message between entries.
@@ -28,6 +29,8 @@
     /// Requests that crashed backend servers, by fingerprint, with the number
     /// of crashes that this entry saw.
     pub crashes: Vec<(u64, u32)>,
+    /// Backend servers that say that they leave.
+    pub departing: Vec<Start>,
     /// Time since the store last answered the entry, in milliseconds; nothing
     /// if it never did.
     pub store_age_ms: Option<u32>,
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod gossip;
 pub mod member;
+pub mod notice;
 pub mod pace;
 pub mod ticket;
 pub mod view;
--- a/components/balance/src/member.rs
+++ b/components/balance/src/member.rs
@@ -9,6 +9,7 @@
 use crate::cold::Bucket;
 use crate::content::Server;
 use crate::gossip::Work;
+use crate::notice::Start;
 
 /// Failures in a row after which a server is left alone for a while.
 const FAILURES_BEFORE_PAUSE: u32 = 2;
@@ -92,6 +93,11 @@
         self.server = server;
     }
 
+    /// Its present start.
+    pub fn start(&self, name: &Name) -> Start {
+        Start { server: name.clone(), born: self.server.born }
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.warm_at
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -7,6 +7,7 @@
 use tables::Name;
 
 use crate::config::Kind;
+use crate::notice::Start;
 
 /// What a caller asks, as far as decisions need it.
 #[derive(Clone, Debug)]
@@ -61,6 +62,8 @@
 pub struct Target {
     /// Identifier.
     pub server: Name,
+    /// Unix time of its start, in milliseconds.
+    pub born: u64,
     /// Address.
     pub address: SocketAddr,
     /// Open requests there, over all entries, when it was chosen.
@@ -69,6 +72,13 @@
     pub cold: bool,
 }
 
+impl Target {
+    /// The start of the server that the request goes to.
+    pub fn start(&self) -> Start {
+        Start { server: self.server.clone(), born: self.born }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -27,6 +27,8 @@
     pub store_failures: Counter,
     /// Objects in the store that could not be read.
     pub malformed: Counter,
+    /// Answers whose word on the server's leaving or pause can't be read.
+    pub unreadable: Counter,
     /// Time to the first event of a stream.
     pub first: Histogram,
     /// Time to the whole answer.
@@ -49,6 +51,10 @@
             connections: counter("gateway_connections", "Connections opened to backend servers"),
             store_failures: counter("gateway_store_failures", "Calls to the store that failed"),
             malformed: counter("gateway_malformed", "Objects in the store that can't be read"),
+            unreadable: counter(
+                "gateway_unreadable_notices",
+                "Answers whose word on the server's leaving or pause can't be read",
+            ),
             first: histogram("gateway_first_event_seconds", "Time to the first event"),
             whole: histogram("gateway_answer_seconds", "Time to the whole answer"),
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -280,6 +280,7 @@
         if status == 421 {
             return Err(Error::Misdirected);
         }
+        self.note_notices(status, &answer);
         let known = !self.request.id.is_empty();
         if known && answer.id.is_some_and(|id| id != self.request.id.as_str()) {
             return Err(Error::Foreign);
@@ -294,6 +295,24 @@
         Ok(())
     }
 
+    /// Notes what the server says of itself besides its answer.
+    fn note_notices(&self, status: u16, answer: &header::Answer<'_>) {
+        let (now, start) = (self.shared().now(), self.target.start());
+        let mut balancer = self.shared().balancer();
+        if answer.unreadable {
+            self.shared().meter.unreadable.add(1);
+        }
+        if answer.leaving && balancer.note_leaving(now, start.clone()) {
+            log::info!(target: "server", id:% = self.request.id, server:% = start.server,
+                born = start.born; "leaving, as it says itself");
+        }
+        let Some(wait) = answer.stay_away.filter(|_| status == 503) else { return };
+        if balancer.note_stay_away(now, start.clone(), wait) {
+            log::info!(target: "server", id:% = self.request.id, server:% = start.server,
+                wait_ms = wait.as_millis() as u64; "wants no requests for a while");
+        }
+    }
+
     /// Takes the answer's body, or begins to pass on a stream.
     async fn take(
         &mut self,
