Name the slow rank: experts, requests and streams leave it

Cause: all ranks of a group wait for the slowest one in each pass.

Now: reports carry the pace; the map weighs a rank's tokens by it; the leader tells the entries, which send it nothing while others are faster by a third, and move its streams within budget and attempts while gaps exceed what the route accepts.

Not covered: the way from an agent to an entry over the stand-ins.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -21,6 +21,7 @@
 use crate::member::Member;
 use crate::notice::{Notices, Start};
 use crate::pace::Pace;
+use crate::slow;
 use crate::ticket::{Ask, Reason, Refusal, Target, Ticket};
 use crate::view::{Update, View};
 
@@ -112,6 +113,7 @@
     behind: BTreeMap<Kind, Behind>,
     crashes: Register,
     notices: Notices,
+    slow: slow::Register,
     rng: ChaCha8Rng,
     store_heard: Option<Duration>,
     leaving: bool,
@@ -131,6 +133,7 @@
             behind: BTreeMap::new(),
             crashes: Register::default(),
             notices: Notices::default(),
+            slow: slow::Register::default(),
             store_heard: None,
             leaving: false,
         }
@@ -238,6 +241,7 @@
             arrived: now,
             deadline: now + patience,
             objective: route.objective,
+            gap: route.gap,
             attempts_left: route.attempts.max(1),
             tried: Vec::new(),
             may_have_run: false,
@@ -309,8 +313,13 @@
             }
             offered.push(name.clone());
         }
-        let not_full = |name: &&Name| !choice::is_full(now, &self.members[*name], need);
-        let open: Vec<&Name> = offered.iter().filter(not_full).collect();
+        let slowness = |name: &Name| self.slow.of(now, self.members[name].server.group.as_ref());
+        let fastest = offered.iter().map(slowness).fold(f64::INFINITY, f64::min);
+        let takes_more = |name: &&Name| {
+            !choice::is_full(now, &self.members[*name], need)
+                && !slow::is_spared(slowness(name), fastest)
+        };
+        let open: Vec<&Name> = offered.iter().filter(takes_more).collect();
         let scored = open.into_iter().map(|name| (name, &self.members[name]));
         match choice::least(now, scored, need, &mut self.rng) {
             Some(server) => Ok(server),
@@ -398,6 +407,7 @@
             self.refresh_members(now);
         }
         self.neighbours.retain(|_, other| now < other.heard + PEER_LIFETIME * 4);
+        self.slow.sweep(now);
         let members = &self.members;
         self.notices.sweep(now, |start| members.contains_key(&start.server));
     }
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -39,6 +39,10 @@
         link: &Name,
         message: Message,
     ) -> Vec<(Name, Message)> {
+        if let Message::Slowness(slowness) = message {
+            self.slow.hear(now, slowness);
+            return Vec::new();
+        }
         if *from == self.options.name || !self.is_current(from, incarnation) {
             return Vec::new();
         }
@@ -64,6 +68,8 @@
                 self.learn(now, Update::Changes { kind, delta });
                 Vec::new()
             }
+            // Not from an entry: taken above.
+            Message::Slowness(_) => Vec::new(),
         }
     }
 
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tables::Name;
 
 use super::{Balancer, WORTH_SENDING};
-use crate::ticket::{Next, Outcome, Reason, Refusal, Ticket};
+use crate::member::Member;
+use crate::pace::Pace;
+use crate::slow;
+use crate::ticket::{Next, Outcome, Reason, Refusal, Target, Ticket};
 
 /// Bounds of the wait that a refused caller is told when servers are full or
 /// cold, in seconds: the time in which running requests end, spread so that
@@ -59,6 +63,37 @@
         }
     }
 
+    /// Another server for a stream under way, if its rank is so slow that the
+    /// group's passes last longer than callers accept: all ranks wait for it as
+    /// long as it has work, which costs more than reading one prompt again.
+    /// Nothing if the stream stays, also where no retry is left for it.
+    pub fn relocate(&mut self, now: Duration, ticket: &mut Ticket) -> Option<Target> {
+        let gap = self.paces.get(&ticket.pool).map(Pace::gap)?;
+        let late = ticket.gap.is_some_and(|accepted| gap > accepted);
+        if !late || !ticket.kind.is_repeatable() || ticket.attempts_left == 0 {
+            return None;
+        }
+        let server = ticket.tried.last()?.clone();
+        if !self.is_spared(now, ticket, &server) || now + WORTH_SENDING >= ticket.deadline {
+            return None;
+        }
+        let target = self.pick(now, ticket).ok()?;
+        let pool = ticket.pool.clone();
+        self.budget(now, &pool).spend(now).then(|| self.send(now, ticket, target))
+    }
+
+    /// Whether a rank gets no requests because it is slow beside another one
+    /// of the pool.
+    fn is_spared(&self, now: Duration, ticket: &Ticket, server: &Name) -> bool {
+        let slowness = |member: &Member| self.slow.of(now, member.server.group.as_ref());
+        let others = self
+            .members
+            .values()
+            .filter(|member| member.server.pool == ticket.pool && member.is_usable(now));
+        let fastest = others.map(slowness).fold(f64::INFINITY, f64::min);
+        self.members.get(server).is_some_and(|member| slow::is_spared(slowness(member), fastest))
+    }
+
     fn reason_to_stop(&self, now: Duration, ticket: &Ticket, outcome: Outcome) -> Option<Reason> {
         if outcome == Outcome::Expired || now + WORTH_SENDING >= ticket.deadline {
             return Some(Reason::Expired);
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use crate::content::Kind;
 use crate::notice::Start;
+use crate::slow::Slowness;
 use crate::view::Delta;
 
 /// A message between entries.
@@ -17,6 +18,8 @@
     Pull(Kind, u64),
     /// What the receiver lacks.
     Rows(Kind, Delta),
+    /// From the leader of a rank group to all entries.
+    Slowness(Slowness),
 }
 
 /// An entry's state in short.
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod member;
 pub mod notice;
 pub mod pace;
+pub mod slow;
 pub mod ticket;
 pub mod view;
 
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -43,6 +43,8 @@
     pub deadline: Duration,
     /// The route's objective.
     pub objective: Duration,
+    /// Longest pause between two events with which a stream is on time.
+    pub gap: Option<Duration>,
     /// Backend servers to which it may still be sent.
     pub attempts_left: u32,
     /// Backend servers to which it was sent.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -80,6 +80,10 @@
             log::info!(target: "peers", from:% = sender.name, kind:? = kind,
                 revision = delta.revision, rows = delta.rows.len(); "rows from another entry");
         }
+        if let Message::Slowness(slowness) = &message {
+            log::debug!(target: "peers", from:% = sender.name, group:% = slowness.group,
+                ranks:? = slowness.ranks; "slow ranks");
+        }
         replies.extend(balancer.hear(now, &sender.name, sender.incarnation, &sender.link, message));
     }
     replies
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -357,6 +357,11 @@
         if self.finished {
             return None;
         }
+        if self.leave_slow_rank()
+            && let Err(refusal) = self.reconnect(None).await
+        {
+            return Some(Err(self.cut(refusal)));
+        }
         loop {
             match self.read().await {
                 Ok(Some(events)) => {
@@ -372,15 +377,42 @@
                 }
                 Err(error) => {
                     if let Err(refusal) = self.resume(error).await {
-                        self.shared().meter.cut.add(1);
-                        self.finish("cut", Some(refusal));
-                        return Some(Err(refusal));
+                        return Some(Err(self.cut(refusal)));
                     }
                 }
             }
         }
     }
 
+    /// The stream can't be completed.
+    fn cut(&mut self, refusal: Refusal) -> Refusal {
+        self.shared().meter.cut.add(1);
+        self.finish("cut", Some(refusal));
+        refusal
+    }
+
+    /// Gives up a rank for which the whole group waits, if another server takes
+    /// the stream.
+    fn leave_slow_rank(&mut self) -> bool {
+        let now = self.shared().now();
+        let target = self.context.shared.balancer().relocate(now, &mut self.ticket);
+        let Some(target) = target else { return false };
+        log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
+            next:% = target.server, last_event = self.events.last(); "leaving a slow rank");
+        self.attempt = None;
+        self.source = None;
+        self.restart_events();
+        self.go_to(target);
+        true
+    }
+
+    /// The next events come from another server.
+    fn restart_events(&mut self) {
+        self.events.restart();
+        // The gap until the next event says nothing of the pool's pace.
+        self.heard = None;
+    }
+
     fn note_events(&mut self) {
         let now = self.shared().now();
         if let Some(before) = self.heard.replace(now) {
@@ -448,13 +480,18 @@
 
     /// Goes on with a broken stream at another backend server.
     async fn resume(&mut self, error: Error) -> Result<(), Refusal> {
+        self.restart_events();
+        self.reconnect(Some(error)).await
+    }
+
+    /// Goes on at the present target, or after an error at another one.
+    async fn reconnect(&mut self, error: Option<Error>) -> Result<(), Refusal> {
         let mut error = error;
         let broken = self.shared().now();
-        self.events.restart();
-        // The gap until the next event says nothing of the pool's pace.
-        self.heard = None;
         loop {
-            if let Err(refusal) = self.go_on(error) {
+            if let Some(error) = error.take()
+                && let Err(refusal) = self.go_on(error)
+            {
                 self.wait_for_server(broken, refusal).await?;
             }
             match self.exchange().await {
@@ -463,8 +500,10 @@
                     self.source = Some((connection, response.into_body()));
                     return Ok(());
                 }
-                Ok((_, response)) => error = Error::Failed { status: response.status().as_u16() },
-                Err(failure) => error = failure,
+                Ok((_, response)) => {
+                    error = Some(Error::Failed { status: response.status().as_u16() });
+                }
+                Err(failure) => error = Some(failure),
             }
         }
     }
--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -70,9 +70,20 @@
     /// assert_eq!(map.skew(&[vec![3.0, 1.0]]), 1.5);
     /// ```
     pub fn skew(&self, demand: &[Vec<f64>]) -> f64 {
+        self.skew_at(demand, &[])
+    }
+
+    /// The same where ranks take `paces` times as long as usual for their
+    /// tokens; ranks beyond the list work as usual.
+    ///
+    /// ```
+    /// let map = group::placement::even::Assignment::dealt(2, 1, 2);
+    /// assert_eq!(map.skew_at(&[vec![1.0, 1.0]], &[1.0, 4.0]), 4.0);
+    /// ```
+    pub fn skew_at(&self, demand: &[Vec<f64>], paces: &[f64]) -> f64 {
         let (mut slowest, mut mean) = (0.0, 0.0);
         for (set, tokens) in self.sets.iter().zip(demand) {
-            let layer = Layer::new(set, tokens);
+            let layer = Layer::new(set, tokens, paces);
             slowest += layer.loads.iter().copied().fold(0.0, f64::max);
             mean += tokens.iter().sum::<f64>() / set.len().max(1) as f64;
         }
@@ -89,10 +100,28 @@
     /// assert_eq!(better.skew(&[vec![3.0, 1.0]]), 1.0);
     /// ```
     pub fn improved(&self, demand: &[Vec<f64>], bounds: Bounds) -> Assignment {
+        self.improved_at(demand, &[], bounds)
+    }
+
+    /// The same where ranks take `paces` times as long as usual for their
+    /// tokens: slow ones are left with experts that few tokens choose.
+    ///
+    /// ```
+    /// use group::placement::even::{Assignment, Bounds};
+    /// let map = Assignment::dealt(2, 1, 4);
+    /// let bounds = Bounds { places: 4, fresh: 2, copies: 2, gain: 0.01 };
+    /// let better = map.improved_at(&[vec![1.0; 4]], &[1.0, 9.0], bounds);
+    /// assert!(better.sets[0][1].is_empty());
+    /// ```
+    pub fn improved_at(&self, demand: &[Vec<f64>], paces: &[f64], bounds: Bounds) -> Assignment {
         let ranks = self.sets.first().map_or(0, Vec::len);
         let mut copied = vec![0; ranks];
-        let mut layers: Vec<Layer<'_>> =
-            self.sets.iter().zip(demand).map(|(set, tokens)| Layer::new(set, tokens)).collect();
+        let mut layers: Vec<Layer<'_>> = self
+            .sets
+            .iter()
+            .zip(demand)
+            .map(|(set, tokens)| Layer::new(set, tokens, paces))
+            .collect();
         let mut open: Vec<usize> = (0..layers.len()).collect();
         for _ in 0..ROUNDS * layers.len() {
             // The set that delays the pass most.
@@ -142,6 +171,7 @@
 /// One set of layers with its loads.
 struct Layer<'a> {
     tokens: &'a [f64],
+    paces: &'a [f64],
     held: Vec<Vec<u16>>,
     holders: Vec<Vec<usize>>,
     loads: Vec<f64>,
@@ -199,7 +229,7 @@
 }
 
 impl<'a> Layer<'a> {
-    fn new(set: &[Vec<u16>], tokens: &'a [f64]) -> Layer<'a> {
+    fn new(set: &[Vec<u16>], tokens: &'a [f64], paces: &'a [f64]) -> Layer<'a> {
         let mut holders = vec![Vec::new(); tokens.len()];
         for (rank, experts) in set.iter().enumerate() {
             for expert in experts {
@@ -208,7 +238,7 @@
         }
         let mean = tokens.iter().sum::<f64>() / set.len().max(1) as f64;
         let (loads, fresh) = (Vec::new(), vec![0; set.len()]);
-        let mut layer = Layer { tokens, held: set.to_vec(), holders, loads, mean, fresh };
+        let mut layer = Layer { tokens, paces, held: set.to_vec(), holders, loads, mean, fresh };
         layer.loads = (0..set.len()).map(|rank| layer.load(rank)).collect();
         layer
     }
@@ -218,8 +248,14 @@
         self.loads.iter().copied().fold(0.0, f64::max) - self.mean
     }
 
+    /// Time that a rank takes for its tokens, in tokens of a usual rank.
     fn load(&self, rank: usize) -> f64 {
-        self.held[rank].iter().map(|expert| self.share(*expert)).sum()
+        let tokens: f64 = self.held[rank].iter().map(|expert| self.share(*expert)).sum();
+        tokens * self.pace(rank)
+    }
+
+    fn pace(&self, rank: usize) -> f64 {
+        self.paces.get(rank).copied().unwrap_or(1.0)
     }
 
     fn copies(&self, expert: u16) -> usize {
@@ -309,7 +345,7 @@
             if rank != step.to && evicted_holders.contains(&rank) {
                 change += more;
             }
-            change
+            change * self.pace(rank)
         };
         let touched = self.holders[usize::from(step.expert)].iter().chain(evicted_holders);
         let peaks =
@@ -319,7 +355,8 @@
 
     fn peak_after_swap(&self, step: Step, other: u16) -> f64 {
         let change = self.share(step.expert) - self.share(other);
-        (self.loads[step.from] - change).max(self.loads[step.to] + change)
+        let from = self.loads[step.from] - change * self.pace(step.from);
+        from.max(self.loads[step.to] + change * self.pace(step.to))
     }
 
     /// The relieved rank gives up an expert that others hold, too.
@@ -327,8 +364,9 @@
         let copies = self.copies(step.expert);
         let more = self.share_of(step.expert, copies - 1) - self.share(step.expert);
         let others = self.holders[usize::from(step.expert)].iter().filter(|one| **one != step.from);
-        let peaks = others.map(|rank| self.loads[*rank] + more);
-        peaks.fold(self.loads[step.from] - self.share(step.expert), f64::max)
+        let peaks = others.map(|rank| self.loads[*rank] + more * self.pace(*rank));
+        let relieved = self.loads[step.from] - self.share(step.expert) * self.pace(step.from);
+        peaks.fold(relieved, f64::max)
     }
 
     /// Takes a step and counts what it copies.
--- a/components/group/src/switch/leader/mod.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::placement::demand::Demand;
 use crate::placement::even::{Assignment, Bounds};
-use crate::switch::{Order, Report, Status};
+use crate::switch::{Order, Report, Status, USUAL};
 
 /// Age at which a rank's status no longer counts.
 const STATUS_LIFETIME: Duration = Duration::from_millis(1300);
@@ -220,6 +220,8 @@
             self.weighed &= !self.demand.note(now, choices);
         }
         let rank = status.report.rank;
+        self.weighed &=
+            self.report(rank).is_some_and(|known| known.slowness == status.report.slowness);
         let experts = status.experts.is_none() && status.report.map == self.map_of(rank);
         let mut status = status;
         if experts {
@@ -289,6 +291,12 @@
         self.ranks.values().map(|known| &known.status.report)
     }
 
+    /// Ranks that take longer than usual, with multiples of the usual time.
+    pub fn slow(&self) -> Vec<(u32, f64)> {
+        let slow = self.reports().filter(|report| report.slowness > USUAL);
+        slow.map(|report| (report.rank, report.pace())).collect()
+    }
+
     /// Ranks of which nothing was heard for a while, or ever.
     pub fn silent(&self, now: Duration) -> Vec<u32> {
         let quiet = |rank: &u32| {
@@ -449,8 +457,9 @@
             copies: self.copies(),
             ..self.model.bounds
         };
-        let map = Arc::new(current.improved(demand, bounds));
-        let skew = (current.skew(demand), map.skew(demand));
+        let paces: Vec<f64> = self.reports().map(Report::pace).collect();
+        let map = Arc::new(current.improved_at(demand, &paces, bounds));
+        let skew = (current.skew_at(demand, &paces), map.skew_at(demand, &paces));
         if skew.0 - skew.1 < choose(self.tuning.least_gain) {
             return;
         }
--- a/components/group/src/switch/message.rs
+++ b/components/group/src/switch/message.rs
@@ -34,6 +34,30 @@
     pub held: Option<u64>,
     /// Number of orders that the rank carried out.
     pub sequence: u64,
+    /// Tenths of the usual time that the rank takes for its work, at least
+    /// [`USUAL`].
+    #[serde(default = "usual")]
+    pub slowness: u32,
+}
+
+/// Slowness of a rank that works as usual.
+pub const USUAL: u32 = 10;
+
+fn usual() -> u32 {
+    USUAL
+}
+
+impl Report {
+    /// How many times as long as usual the rank takes.
+    ///
+    /// ```
+    /// use group::switch::Report;
+    /// assert_eq!(Report { slowness: 120, ..Report::default() }.pace(), 12.0);
+    /// assert_eq!(Report::default().pace(), 1.0);
+    /// ```
+    pub fn pace(&self) -> f64 {
+        f64::from(self.slowness.max(USUAL)) / f64::from(USUAL)
+    }
 }
 
 /// A switch to a map at a pass.
--- a/components/group/src/switch/mod.rs
+++ b/components/group/src/switch/mod.rs
@@ -22,4 +22,4 @@
 mod message;
 
 pub use leader::{Action, Leader, Model, Plan, Tuning};
-pub use message::{Armed, Command, Message, Order, Report, Status};
+pub use message::{Armed, Command, Message, Order, Report, Status, USUAL};
--- a/components/group/tests/even.rs
+++ b/components/group/tests/even.rs
@@ -52,3 +52,26 @@
     assert_eq!(better.copies(&map), 0);
     assert_eq!(better.sets[0], vec![vec![1], vec![0, 2], vec![0, 3]]);
 }
+
+/// One rank takes twelve times as long: all wait for it in each pass, so that
+/// it is left with what few tokens choose.
+#[test]
+fn improved_at_spares_slow_rank() {
+    let map = Assignment::dealt(12, 3, 96);
+    let tokens: Vec<f64> = (1..=96).map(|place| 1e5 / f64::from(place)).collect();
+    let demand = vec![tokens; 3];
+    let mut paces = vec![1.0; 12];
+    paces[4] = 12.0;
+    let bounds = Bounds { places: 11, fresh: 4, copies: 12, gain: 0.01 };
+    let (mut aware, mut unaware) = (map.clone(), map);
+    for _ in 0..3 {
+        aware = aware.improved_at(&demand, &paces, bounds);
+        unaware = unaware.improved(&demand, bounds);
+    }
+    assert!(unaware.skew_at(&demand, &paces) > 10.0);
+    assert!(aware.skew_at(&demand, &paces) < 2.0, "{}", aware.skew_at(&demand, &paces));
+    let mut all: Vec<u16> = aware.sets[0].iter().flatten().copied().collect();
+    all.sort_unstable();
+    all.dedup();
+    assert_eq!(all.len(), 96, "each expert stays somewhere");
+}
--- a/components/group/tests/switch_world/mod.rs
+++ b/components/group/tests/switch_world/mod.rs
@@ -183,6 +183,7 @@
             armed: rank.armed,
             held: rank.held,
             sequence: 0,
+            slowness: group::switch::USUAL,
         };
         let tokens = (0..EXPERTS).map(|_| self.rng.random_range(1..4000)).collect();
         Status {
--- a/components/group/tests/turn.rs
+++ b/components/group/tests/turn.rs
@@ -100,6 +100,7 @@
             armed: rank.armed,
             held: rank.held,
             sequence: 0,
+            slowness: group::switch::USUAL,
         };
         let held = self.map(rank.map).sets.iter().map(|set| set[index].clone()).collect();
         let demand = reads.then(|| self.reading());
--- a/components/rank/src/agent/lead.rs
+++ b/components/rank/src/agent/lead.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::gossip;
+use balance::slow::Slowness;
 use group::switch::{Action, Command, Leader, Message, Order, Tuning};
 
-use super::{Agent, BUSY};
+use super::{Agent, BUSY, SLOW};
 use crate::{own, spread};
 
 /// Whether an action has a rank copy a map.
@@ -119,6 +121,30 @@
         }
     }
 
+    /// Tells the entries which ranks are slow: at once when it changes, and
+    /// again and again while some are.
+    pub(super) fn tell_entries(&mut self, now: Duration) {
+        let Some(leader) = self.leader.as_ref().filter(|_| self.follow.leads()) else { return };
+        let (ranks, epoch) = (leader.slow(), leader.epoch());
+        let changed = ranks != self.told;
+        let due = !ranks.is_empty() && self.due.slow.is_none_or(|last| now >= last + SLOW);
+        let Some(report) = self.report.as_ref().filter(|_| changed || due) else { return };
+        if changed {
+            log::info!(target: "leader", ranks:? = ranks, entries = self.entries.len();
+                "slow ranks");
+        }
+        let slowness =
+            Slowness { group: report.group.as_str().into(), epoch, ranks: ranks.clone() };
+        self.due.slow = Some(now);
+        self.told = ranks;
+        for link in self.entries.clone() {
+            let message = wire::Message::Entry(gossip::Message::Slowness(slowness.clone()));
+            if let Err(error) = self.link.push(&link, message) {
+                log::warn!(target: "link", link:% = link, error:% = error; "link failed");
+            }
+        }
+    }
+
     /// Reads the reports of ranks whose agents are silent, or were never heard.
     pub(super) fn ask_silent(&mut self, now: Duration) {
         let Some(leader) = &self.leader else { return };
--- a/components/rank/src/agent/mod.rs
+++ b/components/rank/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod lead;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +48,9 @@
 /// Time between two words of the leader to an agent that sends its status.
 const LEADING: Duration = Duration::from_millis(150);
 
+/// Time between two words to the entries while a rank is slow.
+const SLOW: Duration = Duration::from_millis(400);
+
 /// Time between two questions to a rank whose agent is silent.
 const REMOTE: Duration = Duration::from_millis(500);
 
@@ -75,6 +79,11 @@
     remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
     /// The newest map that was sent to all agents at once.
     spread: u64,
+    /// Links of the entries, as the store names them.
+    entries: Vec<Name>,
+    /// Slow ranks that the entries were told of last.
+    told: Vec<(u32, f64)>,
+    leads: Rc<Cell<bool>>,
 }
 
 /// An order whose effect has not shown yet.
@@ -92,6 +101,7 @@
     choices: Option<Duration>,
     status: Option<Duration>,
     remote: Option<Duration>,
+    slow: Option<Duration>,
 }
 
 /// What others tell an agent.
@@ -102,14 +112,18 @@
     Known(Vec<(Name, Content)>, Option<Model>),
     /// Address and report of a rank whose agent is silent.
     Remote(SocketAddr, Report),
+    /// Links of the entries that the store names.
+    Entries(Vec<Name>),
 }
 
 impl Agent {
-    /// An agent that knows nothing yet. Remote reports go to `remote`.
+    /// An agent that knows nothing yet. Remote reports go to `remote`; `leads`
+    /// says whether it leads.
     pub fn new(
         settings: Settings,
         link: Link,
         remote: mpsc::UnboundedSender<(SocketAddr, Report)>,
+        leads: Rc<Cell<bool>>,
     ) -> Agent {
         Agent {
             follow: Follow::new(settings.name.clone()),
@@ -132,6 +146,9 @@
             due: Due::default(),
             remote,
             spread: 0,
+            entries: Vec::new(),
+            told: Vec::new(),
+            leads,
         }
     }
 
@@ -186,9 +203,11 @@
         if fresh || is_due(&mut self.due.status, now, interval) {
             self.tell();
         }
+        self.leads.set(self.follow.leads());
         if self.follow.leads() && is_due(&mut self.due.remote, now, REMOTE) {
             self.ask_silent(now);
         }
+        self.tell_entries(now);
     }
 
     /// Reads the rank's report, and tells the leader if it changed.
@@ -213,7 +232,8 @@
         if moved {
             log::info!(target: "rank", epoch = report.epoch, open = report.open,
                 step = report.step, map = report.map, prepared = report.prepared,
-                armed:? = report.armed, held:? = report.held; "rank changed");
+                armed:? = report.armed, held:? = report.held, pace = report.pace();
+                "rank changed");
             self.tell();
         }
     }
@@ -323,6 +343,7 @@
                 }
             }
             Event::Known(agents, model) => self.take_known(agents, model),
+            Event::Entries(links) => self.entries = links,
             Event::Remote(address, report) => {
                 self.ranks.insert(report.rank, address);
                 let status = Status { report, experts: None, demand: None };
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts the agent's parts and stops them.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use balance::config::Config;
@@ -61,8 +63,9 @@
     });
     let urls = vec![format!("http://{}", settings.store).into()];
     let client = Client::new(urls, registry::ANSWER_TIMEOUT);
-    actix_rt::spawn(look(settings.clone(), client, events));
-    let agent = Agent::new(settings.clone(), link, remote);
+    let leads = Rc::new(Cell::new(false));
+    actix_rt::spawn(look(settings.clone(), client, events, leads.clone()));
+    let agent = Agent::new(settings.clone(), link, remote, leads);
     actix_rt::spawn(agent.run(received));
     actix_rt::spawn(daemon::hangups(|| {
         log::info!(target: "settings", "told to reload; changes need a restart");
@@ -87,7 +90,12 @@
 }
 
 /// Enters the agent into the store and looks for the others.
-async fn look(settings: Settings, client: Client, events: mpsc::UnboundedSender<Event>) {
+async fn look(
+    settings: Settings,
+    client: Client,
+    events: mpsc::UnboundedSender<Event>,
+    leads: Rc<Cell<bool>>,
+) {
     let report = first_report(&settings).await;
     let described = Described {
         link: settings.link_name(),
@@ -106,6 +114,11 @@
         if !agents.is_empty() {
             let _ = events.send(Event::Known(agents, served));
         }
+        if leads.get()
+            && let Some(links) = entries(&client).await
+        {
+            let _ = events.send(Event::Entries(links));
+        }
         let complete = whole && served.is_some();
         actix_rt::time::sleep(if complete { LOOK_COMPLETE } else { LOOK }).await;
     }
@@ -124,6 +137,24 @@
     }
 }
 
+/// The links of the entries, for a leader that has something to tell them.
+async fn entries(client: &Client) -> Option<Vec<Name>> {
+    match registry::list_stale(client, Kind::Peer).await {
+        Ok(page) => {
+            let bodies = page.rows.into_iter().filter_map(|(_, row)| row.body);
+            let links = bodies.filter_map(|content| match content {
+                Content::Peer(peer) => Some(peer.link),
+                _ => None,
+            });
+            Some(links.collect())
+        }
+        Err(error) => {
+            log::info!(target: "store", error:% = error; "entries not listed");
+            None
+        }
+    }
+}
+
 async fn agents(client: &Client) -> Option<Vec<(Name, Content)>> {
     match registry::list_stale(client, Kind::Agent).await {
         Ok(page) => {
