Measure the pace of a pool against the pause that its routes accept

Now they follow the route's own figure (two and a half, five thirds and one accepted pause), which gives the same on the sites that accept 120 ms. Test: note_gap_against_accepted_pause.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -254,6 +254,9 @@
             return Err(self.refuse_not_run(Reason::Crashes, Some(patience)));
         }
         self.budget(now, &ticket.pool).earn(now);
+        if ticket.kind.is_stream() {
+            self.paces.entry(ticket.pool.clone()).or_default().accept(ticket.gap);
+        }
         Ok(ticket)
     }
 
--- a/components/balance/src/pace.rs
+++ b/components/balance/src/pace.rs
@@ -5,19 +5,18 @@
 /// Share of the newest gap in the mean.
 const WEIGHT: f64 = 0.1;
 
-/// Mean gap between events from which on a pool is slow: six times a usual
-/// pass of a rank group.
-const SLOW_GAP: Duration = Duration::from_millis(300);
+/// Pause between events that callers accept, where no route states one.
+const ACCEPTED: Duration = Duration::from_millis(120);
+
+/// Mean gap from which on a pool is slow, in accepted pauses.
+const SLOW_GAP: f64 = 2.5;
 
 /// Age of the newest event from which on a pool stands still.
 const STILL_AFTER: Duration = Duration::from_millis(1000);
 
-/// Mean gap beyond which fewer requests are let in. A stream of some thirty
-/// events has to end within the eight seconds that callers wait.
-const LONG_GAP: Duration = Duration::from_millis(200);
-
-/// Mean gap below which more are let in again: the pause that callers accept.
-const SHORT_GAP: Duration = Duration::from_millis(120);
+/// Mean gap beyond which fewer requests are let in, in accepted pauses. With
+/// gaps of the accepted pause and less, more are let in again.
+const LONG_GAP: f64 = 5.0 / 3.0;
 
 /// Age of the newest event from which on the pace is unknown.
 const LIFETIME: Duration = Duration::from_secs(5);
@@ -43,15 +42,28 @@
     /// Share of the usual limit of open requests.
     share: f64,
     adjusted: Duration,
+    /// Pause between events that callers accept.
+    accepted: Duration,
 }
 
 impl Default for Pace {
     fn default() -> Pace {
-        Pace { gap: Duration::ZERO, heard: Duration::ZERO, share: 1.0, adjusted: Duration::ZERO }
+        Pace {
+            gap: Duration::ZERO,
+            heard: Duration::ZERO,
+            share: 1.0,
+            adjusted: Duration::ZERO,
+            accepted: ACCEPTED,
+        }
     }
 }
 
 impl Pace {
+    /// Notes the pause that the route of a stream accepts, if it states one.
+    pub fn accept(&mut self, pause: Option<Duration>) {
+        self.accepted = pause.unwrap_or(ACCEPTED);
+    }
+
     /// Notes an event that came `gap` after the one before in its stream.
     /// Returns the share of open requests if it changed.
     pub fn note(&mut self, now: Duration, gap: Duration) -> Option<f64> {
@@ -62,9 +74,9 @@
         }
         self.adjusted = now;
         let before = self.share;
-        if self.gap > LONG_GAP {
+        if self.gap > self.accepted.mul_f64(LONG_GAP) {
             self.share = (self.share * FALL).max(SHARE_MIN);
-        } else if self.gap < SHORT_GAP {
+        } else if self.gap < self.accepted {
             self.share = (self.share + RISE).min(1.0);
         }
         (self.share != before).then_some(self.share)
@@ -95,7 +107,7 @@
     /// assert!(!pace.is_slow(at + Duration::from_secs(60)), "nobody knows");
     /// ```
     pub fn is_slow(&self, now: Duration) -> bool {
-        self.gap > SLOW_GAP && self.is_known(now)
+        self.gap > self.accepted.mul_f64(SLOW_GAP) && self.is_known(now)
     }
 
     /// Whether no event came for long.
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -357,3 +357,20 @@
     }
     assert_eq!(open(&mut balancer, 15_000), usual);
 }
+
+/// Gaps of 250 ms are long where callers accept 120 ms, and not where they
+/// accept 200 ms.
+#[rstest]
+#[case::short_pause(120, true)]
+#[case::long_pause(200, false)]
+fn note_gap_against_accepted_pause(#[case] accepted: u64, #[case] fewer: bool) {
+    let mut config = common::config(5);
+    config.routes[0].gap = Some(ms(accepted));
+    let mut balancer = ready(&[("r1", rank(1, true))]);
+    balancer.learn(ms(10), configured(20, config));
+    let (_, server) = sent(&mut balancer, ms(1000), "/stream/notes");
+    balancer.release(&server);
+    let shares = (1..=20)
+        .filter_map(|step| balancer.note_gap(ms(1000 + 500 * step), &"models".into(), ms(250)));
+    assert_eq!(shares.count() > 0, fewer);
+}
