--- a/components/group/src/switch/leader/mod.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -1,13 +1,18 @@
 //! Which orders follow from what all ranks report.
 
+mod plan;
 mod settle;
+mod timing;
+mod tuning;
+
+pub use tuning::{Model, Tuning};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::placement::demand::Demand;
-use crate::placement::even::{Assignment, Bounds};
+use crate::placement::even::Assignment;
 use crate::switch::{Order, Report, Status, USUAL};
 
 /// Age at which a rank's status no longer counts.
@@ -39,59 +44,6 @@
 /// Bits of a version that tell apart the maps of different leaders.
 const TAG_BITS: u32 = 16;
 
-/// How eagerly maps are changed.
-#[derive(Clone, Copy, Debug)]
-pub struct Tuning {
-    /// Time over which demand loses half its weight.
-    pub half_life: Duration,
-    /// Time in which each rank that is read tells its choices once.
-    pub window: Duration,
-    /// Least time between the ends of two changes.
-    pub pause: Duration,
-    /// Least fall of the skew for which a change is made, while passes are
-    /// short and while they are not.
-    pub least_gain: (f64, f64),
-    /// Least improvement for which a single expert is copied, in both cases.
-    pub step_gain: (f64, f64),
-    /// Time that it takes to arm a group of one rank, before any was seen.
-    pub arming: Duration,
-    /// What each further rank adds to it.
-    pub arming_per_rank: Duration,
-    /// Tokens without which nothing is planned.
-    pub least_tokens: f64,
-}
-
-impl Default for Tuning {
-    fn default() -> Tuning {
-        Tuning {
-            half_life: Duration::from_millis(500),
-            window: Duration::from_millis(200),
-            pause: Duration::from_millis(100),
-            least_gain: (0.3, 0.15),
-            step_gain: (0.08, 0.03),
-            arming: Duration::from_millis(180),
-            arming_per_rank: Duration::from_millis(2),
-            least_tokens: 2000.0,
-        }
-    }
-}
-
-/// The model that the group serves, as far as maps are concerned.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Model {
-    /// Sets of layers.
-    pub sets: usize,
-    /// Experts of a set.
-    pub experts: usize,
-    /// What a change may do.
-    pub bounds: Bounds,
-    /// Time in which a rank copies one expert.
-    pub copy: Duration,
-    /// Pause between events that callers accept. Passes of more than half of it
-    /// count as long.
-    pub pause: Duration,
-}
-
 /// A map on its way.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -400,101 +352,6 @@
         }
     }
 
-    /// Passes between the last report and the pass of a switch: enough for all
-    /// ranks to be armed before the pass is due, so that nobody waits. Where
-    /// passes are longer than callers accept, all streams are late already, and
-    /// one pass less under the old map is worth a wait. Never more than the first
-    /// guess, by which later leaders know how far ahead a hold may be.
-    fn lead(&self, ranks: usize, pass: Duration) -> u64 {
-        let most = self.arming_at_first(ranks);
-        let wanted = self.arming.map_or(most, |arming| arming.min(most));
-        let spare = if pass > self.model.pause { 1 } else { 2 };
-        (wanted.as_secs_f64() / pass.as_secs_f64()) as u64 + spare
-    }
-
-    fn arming_at_first(&self, ranks: usize) -> Duration {
-        self.tuning.arming + self.tuning.arming_per_rank * ranks as u32
-    }
-
-    /// All ranks are armed: learns how long that took.
-    fn note_arming(&mut self, now: Duration) {
-        let Some(held) = self.plan.as_mut().and_then(|plan| plan.held.take()) else { return };
-        self.arming = Some(smoothed(self.arming, now - held));
-    }
-
-    /// A change is over: learns how long it took besides copying.
-    fn note_overhead(&mut self, now: Duration) {
-        let Some(plan) = &self.plan else { return };
-        let copying = self.model.copy * plan.copies as u32;
-        let overhead = (now - plan.begun).saturating_sub(copying);
-        self.overhead = Some(smoothed(self.overhead, overhead));
-    }
-
-    /// Experts that a rank may copy in one change: as many as take no longer
-    /// than the rest of the change. More of them delay the first relief, fewer
-    /// spend most of the time on the rest.
-    fn copies(&self) -> usize {
-        let overhead = self.overhead.unwrap_or_else(|| self.arming_at_first(self.ranks.len()));
-        let copies = overhead.as_secs_f64() / self.model.copy.as_secs_f64();
-        (copies as usize).max(1)
-    }
-
-    fn make_plan(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        self.demand.age(now);
-        if self.weighed
-            || now < self.last_end + self.tuning.pause
-            || self.demand.weight() < self.tuning.least_tokens
-        {
-            return;
-        }
-        let Some(current) = self.current_map() else { return };
-        self.weighed = true;
-        let demand = self.demand.tokens();
-        let long = self.pass >= self.model.pause / 2;
-        let choose = |(short, other): (f64, f64)| if long { other } else { short };
-        let bounds = Bounds {
-            gain: choose(self.tuning.step_gain),
-            copies: self.copies(),
-            ..self.model.bounds
-        };
-        let paces: Vec<f64> = self.reports().map(Report::pace).collect();
-        let map = Arc::new(current.improved_at(demand, &paces, bounds));
-        let skew = (current.skew_at(demand, &paces), map.skew_at(demand, &paces));
-        if skew.0 - skew.1 < choose(self.tuning.least_gain) {
-            return;
-        }
-        let version = self.next_version();
-        let copies = map.copies(&current);
-        let (holder, holds, held) = (None, Vec::new(), None);
-        let plan = Plan { version, map, skew, copies, begun: now, held, holder, holds };
-        actions.push(Action::Planned(plan.clone()));
-        self.plan = Some(plan);
-        self.advance(now, actions);
-    }
-
-    /// A version above all known ones that no other leader gives.
-    fn next_version(&self) -> u64 {
-        (((self.highest >> TAG_BITS) + 1) << TAG_BITS) | self.tag
-    }
-
-    /// The map in use, if it is the same on all ranks and they all told what
-    /// they hold of it.
-    fn current_map(&self) -> Option<Assignment> {
-        let mut versions = self.reports().map(|report| report.map);
-        let version = versions.next()?;
-        if versions.any(|other| other != version) {
-            return None;
-        }
-        let held: Option<Vec<&Vec<Vec<u16>>>> =
-            self.ranks.values().map(|rank| rank.status.experts.as_ref()).collect();
-        let held = held?;
-        let set = |set: usize| -> Option<Vec<Vec<u16>>> {
-            held.iter().map(|sets| sets.get(set).cloned()).collect()
-        };
-        let sets: Option<Vec<_>> = (0..self.model.sets).map(set).collect();
-        Some(Assignment { sets: sets? })
-    }
-
     /// Gives an order unless it was given a moment ago or shows its effect.
     /// While the group is held, ranks whose agents are silent get it directly,
     /// too.
@@ -516,8 +373,3 @@
         actions.push(Action::Order(rank, order));
     }
 }
-
-/// A mean of durations in which the newest one counts most.
-fn smoothed(known: Option<Duration>, newest: Duration) -> Duration {
-    known.map_or(newest, |known| (known + newest) / 2)
-}
