--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -8,6 +8,7 @@
 use super::{Balancer, Behind, Neighbour, PEER_LIFETIME, STORE_LIFETIME};
 use crate::content::{Kind, Peer};
 use crate::gossip::{Heartbeat, Message, Work};
+use crate::slow::Slowness;
 use crate::view::Update;
 
 /// Time that an entry may be behind another before it asks that one: the
@@ -40,7 +41,7 @@
         message: Message,
     ) -> Vec<(Name, Message)> {
         if let Message::Slowness(slowness) = message {
-            self.slow.hear(now, slowness);
+            self.hear_slowness(now, slowness);
             return Vec::new();
         }
         if *from == self.options.name || !self.is_current(from, incarnation) {
@@ -73,6 +74,12 @@
         }
     }
 
+    /// The leader of a rank group tells which ranks are slow. Returns whether
+    /// that is news.
+    pub fn hear_slowness(&mut self, now: Duration, slowness: Slowness) -> bool {
+        self.slow.hear(now, slowness)
+    }
+
     /// Whether a frame comes from the newest process of its host that is known.
     fn is_current(&self, from: &Name, incarnation: u64) -> bool {
         self.neighbours.get(from).is_none_or(|known| incarnation >= known.incarnation)
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -79,7 +79,11 @@
         }
         let target = self.pick(now, ticket).ok()?;
         let pool = ticket.pool.clone();
-        self.budget(now, &pool).spend(now).then(|| self.send(now, ticket, target))
+        if !self.budget(now, &pool).spend(now) {
+            return None;
+        }
+        ticket.may_have_run = true;
+        Some(self.send(now, ticket, target))
     }
 
     /// Whether a rank gets no requests because it is slow beside another one
--- a/components/balance/tests/slow.rs
+++ b/components/balance/tests/slow.rs
@@ -102,6 +102,7 @@
     let target = balancer.relocate(ms(120), &mut ticket).unwrap();
     assert_ne!(target.server, "m2");
     assert_eq!(ticket.tried.len(), 2);
+    assert!(ticket.may_have_run, "the slow rank ran a part of it");
     // It stays there.
     assert_eq!(balancer.relocate(ms(130), &mut ticket), None);
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -80,9 +80,14 @@
             log::info!(target: "peers", from:% = sender.name, kind:? = kind,
                 revision = delta.revision, rows = delta.rows.len(); "rows from another entry");
         }
-        if let Message::Slowness(slowness) = &message {
-            log::debug!(target: "peers", from:% = sender.name, group:% = slowness.group,
-                ranks:? = slowness.ranks; "slow ranks");
+        if let Message::Slowness(slowness) = message {
+            let (group, epoch) = (slowness.group.clone(), slowness.epoch);
+            let ranks = slowness.ranks.clone();
+            if balancer.hear_slowness(now, slowness) {
+                log::info!(target: "peers", from:% = sender.name, group:% = group, epoch = epoch,
+                    ranks:? = ranks; "slow ranks changed");
+            }
+            continue;
         }
         replies.extend(balancer.hear(now, &sender.name, sender.incarnation, &sender.link, message));
     }
