Read the change again: never pass on a map that is one rank's own; no work done twice

Cause: a change that can't be made is undone with a map for each rank, made of what that rank holds. Where several are ordered in one step, the way by other agents sent the first one's map and version to all of them: no rank would switch to it, but each would copy experts for nothing and be fenced anew. Now only one map for all goes that way (shared_map).

Checks: clippy, and the tests of group, rank and balance.

--- a/components/balance/src/slow.rs
+++ b/components/balance/src/slow.rs
@@ -48,9 +48,10 @@
 impl Register {
     /// A leader tells. Returns whether other ranks are slow than before.
     pub fn hear(&mut self, now: Duration, slowness: Slowness) -> bool {
-        let ranks = slowness.ranks.clone();
-        let before = self.groups.insert(slowness.group.clone(), (slowness, now));
-        before.is_none_or(|(before, _)| before.ranks != ranks)
+        let known = self.groups.get(&slowness.group);
+        let news = known.is_none_or(|(known, _)| known.ranks != slowness.ranks);
+        self.groups.insert(slowness.group.clone(), (slowness, now));
+        news
     }
 
     /// Time of a rank as a multiple of the usual one; a server that is none
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small world of servers and routes for the cases.
 #![allow(dead_code, clippy::unwrap_used)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use balance::config::{Account, Config, Kind as RouteKind, Limits, Pool, Route};
@@ -118,6 +118,16 @@
     }
 }
 
+/// The servers that some requests in a row are sent to.
+pub fn chosen(balancer: &mut Balancer, now: Duration, path: &str) -> BTreeSet<String> {
+    let mut send = || {
+        let (_, server) = sent(balancer, now, path);
+        balancer.release(&server);
+        server.to_string()
+    };
+    (0..40).map(|_| send()).collect()
+}
+
 /// An admitted request that was sent to its first server.
 pub fn sent(balancer: &mut Balancer, now: Duration, path: &str) -> (Ticket, Name) {
     let mut ticket = balancer.admit(now, &ask(path)).unwrap();
--- a/components/balance/tests/notice.rs
+++ b/components/balance/tests/notice.rs
@@ -22,14 +22,8 @@
     Start { server: server.into(), born }
 }
 
-/// The servers that some requests in a row are sent to.
 fn chosen(balancer: &mut Balancer, now: Duration) -> BTreeSet<String> {
-    let mut send = || {
-        let (_, server) = sent(balancer, now, "/safe/scan");
-        balancer.release(&server);
-        server.to_string()
-    };
-    (0..20).map(|_| send()).collect()
+    common::chosen(balancer, now, "/safe/scan")
 }
 
 fn refusal(balancer: &mut Balancer, now: Duration) -> Reason {
--- a/components/balance/tests/slow.rs
+++ b/components/balance/tests/slow.rs
@@ -44,12 +44,7 @@
 }
 
 fn chosen(balancer: &mut Balancer, now: Duration) -> BTreeSet<String> {
-    let mut send = || {
-        let (_, server) = sent(balancer, now, "/stream/notes");
-        balancer.release(&server);
-        server.to_string()
-    };
-    (0..40).map(|_| send()).collect()
+    common::chosen(balancer, now, "/stream/notes")
 }
 
 #[test]
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -297,16 +297,20 @@
 
     /// Notes what the server says of itself besides its answer.
     fn note_notices(&self, status: u16, answer: &header::Answer<'_>) {
-        let (now, start) = (self.shared().now(), self.target.start());
-        let mut balancer = self.shared().balancer();
         if answer.unreadable {
             self.shared().meter.unreadable.add(1);
         }
+        let stay_away = answer.stay_away.filter(|_| status == 503);
+        if !answer.leaving && stay_away.is_none() {
+            return;
+        }
+        let (now, start) = (self.shared().now(), self.target.start());
+        let mut balancer = self.shared().balancer();
         if answer.leaving && balancer.note_leaving(now, start.clone()) {
             log::info!(target: "server", id:% = self.request.id, server:% = start.server,
                 born = start.born; "leaving, as it says itself");
         }
-        let Some(wait) = answer.stay_away.filter(|_| status == 503) else { return };
+        let Some(wait) = stay_away else { return };
         if balancer.note_stay_away(now, start.clone(), wait) {
             log::info!(target: "server", id:% = self.request.id, server:% = start.server,
                 wait_ms = wait.as_millis() as u64; "wants no requests for a while");
--- a/components/group/src/placement/even.rs
+++ b/components/group/src/placement/even.rs
@@ -122,15 +122,17 @@
             .zip(demand)
             .map(|(set, tokens)| Layer::new(set, tokens, paces))
             .collect();
+        let mut excess: Vec<f64> = layers.iter().map(Layer::excess).collect();
         let mut open: Vec<usize> = (0..layers.len()).collect();
         for _ in 0..ROUNDS * layers.len() {
             // The set that delays the pass most.
-            let worst = |one: &&usize, other: &&usize| {
-                layers[**one].excess().total_cmp(&layers[**other].excess())
-            };
+            let worst = |one: &&usize, other: &&usize| excess[**one].total_cmp(&excess[**other]);
             let Some(&set) = open.iter().max_by(worst) else { break };
             match layers[set].best(&copied, bounds) {
-                Some(step) => layers[set].apply(step, &mut copied),
+                Some(step) => {
+                    layers[set].apply(step, &mut copied);
+                    excess[set] = layers[set].excess();
+                }
                 None => open.retain(|other| *other != set),
             }
         }
--- a/components/rank/src/agent/lead.rs
+++ b/components/rank/src/agent/lead.rs
@@ -7,22 +7,9 @@
 use balance::slow::Slowness;
 use group::switch::{Action, Command, Leader, Message, Order, Tuning};
 
-use super::{Agent, BUSY, SLOW};
+use super::{Agent, BUSY, CHOICES, SLOW};
 use crate::{own, spread};
 
-/// Whether an action has a rank copy a map.
-fn is_map(action: &Action) -> bool {
-    version(action).is_some()
-}
-
-/// The version of the map that an action has a rank copy.
-fn version(action: &Action) -> Option<u64> {
-    match action {
-        Action::Order(_, Order::Prepare { version, .. }) => Some(*version),
-        _ => None,
-    }
-}
-
 impl Agent {
     /// Carries out what follows from the reports, if this agent leads.
     pub(super) async fn lead(&mut self) {
@@ -34,7 +21,8 @@
             let tag = xxhash_rust::xxh3::xxh3_64(
                 format!("{}/{}", self.settings.name, daemon::incarnation()).as_bytes(),
             );
-            self.leader = Some(Leader::new(Tuning::default(), model, report.rank, tag));
+            let tuning = Tuning { window: CHOICES, ..Tuning::default() };
+            self.leader = Some(Leader::new(tuning, model, report.rank, tag));
         }
         let now = self.now();
         let Some(leader) = &mut self.leader else { return };
@@ -43,7 +31,8 @@
         if leader.is_busy() {
             self.busy_until = now + BUSY;
         }
-        let (maps, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(is_map);
+        let (maps, others): (Vec<Action>, Vec<Action>) =
+            actions.into_iter().partition(|action| spread::version(action).is_some());
         self.spread(epoch, maps).await;
         for action in others {
             self.act(epoch, action).await;
@@ -53,14 +42,13 @@
     /// Has all ranks copy a map, some agents passing it on to others. Whoever
     /// doesn't get it that way is sent it directly when it is due again.
     async fn spread(&mut self, epoch: u64, maps: Vec<Action>) {
-        let newest = maps.iter().filter_map(version).max().unwrap_or_default();
-        if newest <= self.spread {
+        let Some(version) = spread::shared(&maps).filter(|version| *version > self.spread) else {
             for action in maps {
                 self.act(epoch, action).await;
             }
             return;
-        }
-        self.spread = newest;
+        };
+        self.spread = version;
         let own = self.report.as_ref().map(|report| report.rank);
         let mut first = None;
         let (mut links, mut at_home) = (Vec::new(), None);
--- a/components/rank/src/spread.rs
+++ b/components/rank/src/spread.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use group::switch::{Action, Order};
+
 /// Part of the leader's link that the demand of sampled ranks may take. Reports
 /// and orders need the rest.
 const DEMAND_SHARE: f64 = 0.25;
@@ -57,3 +59,19 @@
     }
     groups
 }
+
+/// The version of the map that an action has a rank copy.
+pub fn version(action: &Action) -> Option<u64> {
+    match action {
+        Action::Order(_, Order::Prepare { version, .. }) => Some(*version),
+        _ => None,
+    }
+}
+
+/// The version of the one map that all actions have ranks copy. Nothing if they
+/// differ: a rank that is kept from being armed copies a map of its own, which
+/// nobody may pass on to another.
+pub fn shared(actions: &[Action]) -> Option<u64> {
+    let first = version(actions.first()?)?;
+    actions.iter().all(|action| version(action) == Some(first)).then_some(first)
+}
--- a/components/rank/tests/spread.rs
+++ b/components/rank/tests/spread.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use rank::spread::groups;
+use group::placement::even::Assignment;
+use group::switch::{Action, Order};
+use rank::spread::{groups, shared};
 use rstest::rstest;
 
 /// Time until the last agent has something, if each link carries one copy after
@@ -32,3 +34,18 @@
 fn groups_of_nobody() {
     assert!(groups(Vec::<u32>::new(), 1000, 1000.0).is_empty());
 }
+
+/// A change that can't be made is undone with a map of its own for each rank:
+/// none of them is passed on in place of another.
+#[rstest]
+#[case::one_map(&[5, 5, 5], Some(5))]
+#[case::maps_of_their_own(&[5, 6], None)]
+#[case::nothing(&[], None)]
+fn shared_map(#[case] versions: &[u64], #[case] expected: Option<u64>) {
+    let copy = |(rank, version): (usize, &u64)| {
+        let map = Assignment::dealt(3, 1, 6).into();
+        Action::Order(rank as u32, Order::Prepare { version: *version, map })
+    };
+    let actions: Vec<Action> = versions.iter().enumerate().map(copy).collect();
+    assert_eq!(shared(&actions), expected);
+}
