--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use tables::Name;
+use tables::{Name, Position};
 
 use crate::budget::Budget;
 use crate::choice::{self, Need};
@@ -18,6 +18,7 @@
 use crate::content::Kind;
 use crate::crash::Register;
 use crate::gossip::Work;
+use crate::hold;
 use crate::member::Member;
 use crate::notice::{Notices, Start};
 use crate::pace::Pace;
@@ -81,6 +82,8 @@
     pub seeds: Vec<Name>,
     /// Limits that all entries keep together.
     pub limits: Limits,
+    /// How long knowledge is held that a restored store lost.
+    pub holds: hold::Bounds,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -116,6 +119,8 @@
     slow: slow::Register,
     rng: ChaCha8Rng,
     store_heard: Option<Duration>,
+    /// The latest era of the store that another entry told of.
+    heard_era: u64,
     leaving: bool,
 }
 
@@ -124,8 +129,8 @@
     pub fn new(options: Options) -> Balancer {
         Balancer {
             rng: ChaCha8Rng::seed_from_u64(options.seed),
+            view: View::new(options.holds),
             options,
-            view: View::default(),
             members: BTreeMap::new(),
             budgets: BTreeMap::new(),
             paces: BTreeMap::new(),
@@ -135,6 +140,7 @@
             notices: Notices::default(),
             slow: slow::Register::default(),
             store_heard: None,
+            heard_era: 0,
             leaving: false,
         }
     }
@@ -164,9 +170,15 @@
         self.view.config()
     }
 
-    /// The revision up to which a kind is known.
-    pub fn revision(&self, kind: Kind) -> u64 {
-        self.view.revision(kind)
+    /// The position up to which a kind is known.
+    pub fn position(&self, kind: Kind) -> Position {
+        self.view.position(kind)
+    }
+
+    /// The latest era of the store that is known.
+    pub fn era(&self) -> u64 {
+        let eras = Kind::ALL.iter().map(|kind| self.position(*kind).era);
+        eras.fold(self.heard_era, u64::max)
     }
 
     /// Notes that the store answers again after an outage.
@@ -295,13 +307,15 @@
         let engine = pool.and_then(|pool| pool.engine);
         let share = self.paces.get(&ticket.pool).map_or(1.0, |pace| pace.share(now));
         let need = Need { zone: &self.options.zone, engine: engine.as_ref(), share };
-        let (view, notices) = (&self.view, &self.notices);
+        let view = &self.view;
+        let is_barred =
+            |start: &Start| self.notices.is_barred(now, start) || view.is_held(now, start);
         let usable = |(name, member): &(&Name, &mut Member)| {
             member.server.pool == ticket.pool
                 && member.is_usable(now)
-                && !notices.is_barred(now, &member.start(name))
+                && !is_barred(&member.start(name))
                 && !ticket.tried.contains(name)
-                && !view.is_zone_out(&member.server.zone)
+                && !view.is_zone_out(now, &member.server.zone)
         };
         let (mut any, mut cold) = (false, false);
         let mut offered = Vec::new();
@@ -411,6 +425,7 @@
         }
         self.neighbours.retain(|_, other| now < other.heard + PEER_LIFETIME * 4);
         self.slow.sweep(now);
+        self.view.sweep(now);
         let members = &self.members;
         self.notices.sweep(now, |start| members.contains_key(&start.server));
     }
@@ -419,8 +434,8 @@
     pub fn dump(&self, now: Duration) -> serde_json::Value {
         let members: BTreeMap<_, _> =
             self.members.iter().map(|(name, member)| (name, member.show(now))).collect();
-        let revisions: BTreeMap<_, _> =
-            Kind::ALL.iter().map(|kind| (format!("{kind:?}"), self.view.revision(*kind))).collect();
+        let positions: BTreeMap<_, _> =
+            Kind::ALL.iter().map(|kind| (format!("{kind:?}"), self.view.position(*kind))).collect();
         let pool = |(name, pace): (&Name, &Pace)| {
             let shown = serde_json::json!({
                 "gap_ms": pace.gap().as_millis() as u64, "share": pace.share(now),
@@ -434,7 +449,9 @@
             "ready": self.is_ready(),
             "entries": self.entries(now),
             "config_version": self.config().map(|config| config.version),
-            "revisions": revisions,
+            "positions": positions,
+            "zones_out": self.view.zones_out(now),
+            "holds": self.view.told_holds(now),
             "pools": pools,
             "members": members,
         })
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use tables::Name;
+use tables::{Name, Position};
 
 use super::{Balancer, Behind, Neighbour, PEER_LIFETIME, STORE_LIFETIME};
 use crate::content::{Kind, Peer};
@@ -63,10 +63,11 @@
         match message {
             Message::Heartbeat(heartbeat) => self.take_heartbeat(now, from, link, heartbeat),
             Message::Pull(kind, since) => {
-                vec![(link.clone(), Message::Rows(kind, self.view.delta(kind, since)))]
+                let (era, delta) = self.view.delta(kind, since);
+                vec![(link.clone(), Message::Rows(kind, era, delta))]
             }
-            Message::Rows(kind, delta) => {
-                self.learn(now, Update::Changes { kind, delta });
+            Message::Rows(kind, era, delta) => {
+                self.learn(now, Update::Changes { kind, era, delta });
                 Vec::new()
             }
             // Not from an entry: taken above.
@@ -103,19 +104,37 @@
         for start in heartbeat.departing {
             self.notices.leave(now, start);
         }
+        for told in heartbeat.holds {
+            self.view.hear_hold(now, told);
+        }
+        let version = self.config().map_or(0, |config| config.version);
+        let eras = heartbeat.positions.iter().map(|(_, position)| position.era);
+        self.heard_era = eras.fold(self.heard_era, u64::max);
+        let era = self.era();
         let mut pulls = Vec::new();
-        for (kind, revision) in heartbeat.revisions {
-            if self.should_pull(now, kind, revision) {
-                let since = self.view.revision(kind);
+        for (kind, position) in heartbeat.positions {
+            if let Some(age) = heartbeat.store_age_ms
+                && position == self.view.position(kind)
+                && position.era == era
+            {
+                let age = Duration::from_millis(age.into());
+                self.view.note_current(kind, now.saturating_sub(age));
+            }
+            // After a restore the store may have an older configuration than
+            // the one in force, at the same position.
+            let lost = kind == Kind::Config && heartbeat.config > version;
+            if self.should_pull(now, kind, position, lost) {
+                let since = if lost { Position::default() } else { self.view.position(kind) };
                 pulls.push((link.clone(), Message::Pull(kind, since)));
             }
         }
         pulls
     }
 
-    /// Whether another entry's revision is so far ahead that it is asked.
-    fn should_pull(&mut self, now: Duration, kind: Kind, revision: u64) -> bool {
-        if revision <= self.view.revision(kind) {
+    /// Whether another entry is so far ahead that it is asked: it is at a later
+    /// position, or has what the store `lost`.
+    fn should_pull(&mut self, now: Duration, kind: Kind, position: Position, lost: bool) -> bool {
+        if position <= self.view.position(kind) && !lost {
             self.behind.remove(&kind);
             return false;
         }
@@ -145,12 +164,14 @@
 
     /// What the other entries are told.
     pub fn heartbeat(&self, now: Duration) -> Message {
-        let revisions = Kind::ALL.iter().map(|kind| (*kind, self.view.revision(*kind))).collect();
+        let positions = Kind::ALL.iter().map(|kind| (*kind, self.view.position(*kind))).collect();
         let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
         let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
         let age = self.store_heard.map(|heard| now.saturating_sub(heard).as_millis());
         Message::Heartbeat(Heartbeat {
-            revisions,
+            positions,
+            config: self.config().map_or(0, |config| config.version),
+            holds: self.view.told_holds(now),
             load,
             crashes: self.crashes.told(),
             departing: self.notices.told(),
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -2,9 +2,10 @@
 //! sent to each backend server and which requests crashed some.
 
 use serde::{Deserialize, Serialize};
-use tables::Name;
+use tables::{Name, Position};
 
 use crate::content::Kind;
+use crate::hold::Told;
 use crate::notice::Start;
 use crate::slow::Slowness;
 use crate::view::Delta;
@@ -14,10 +15,10 @@
 pub enum Message {
     /// Sent at a steady pace and after each change.
     Heartbeat(Heartbeat),
-    /// Send me what changed in a kind after a revision.
-    Pull(Kind, u64),
-    /// What the receiver lacks.
-    Rows(Kind, Delta),
+    /// Send me what changed in a kind after a position.
+    Pull(Kind, Position),
+    /// What the receiver lacks, and the era of the store that it is of.
+    Rows(Kind, u64, Delta),
     /// From the leader of a rank group to all entries.
     Slowness(Slowness),
 }
@@ -25,8 +26,13 @@
 /// An entry's state in short.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Revision up to which each kind is known.
-    pub revisions: Vec<(Kind, u64)>,
+    /// Position up to which each kind is known.
+    pub positions: Vec<(Kind, Position)>,
+    /// Version of the configuration in force; a restored store may have an
+    /// older one.
+    pub config: u64,
+    /// What a restored store doesn't have any more.
+    pub holds: Vec<Told>,
     /// Work that the entry has open at backend servers.
     pub load: Vec<(Name, Work)>,
     /// Requests that crashed backend servers, by fingerprint, with the number
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod content;
 pub mod crash;
 pub mod gossip;
+pub mod hold;
 pub mod member;
 pub mod notice;
 pub mod pace;
--- a/components/balance/tests/belief.rs
+++ b/components/balance/tests/belief.rs
@@ -7,7 +7,7 @@
 use balance::content::Kind;
 use balance::gossip::Message;
 use common::{ask, blank, config, configured, listing, ms, ready, sent, server};
-use tables::Name;
+use tables::{Name, Position};
 
 /// One heartbeat of `from` and all that follows from it at `to` and back.
 fn beat(now: std::time::Duration, from: (&str, &mut Balancer), to: (&str, &mut Balancer)) {
@@ -40,7 +40,7 @@
     let mut entry = blank("entry-1");
     let other = Name::from("entry-2");
     let link = Name::from("tcp://x");
-    let pull = || Message::Pull(Kind::Config, 0);
+    let pull = || Message::Pull(Kind::Config, Position::default());
     assert_eq!(entry.hear(ms(0), &other, 5, &link, pull()).len(), 1);
     assert!(entry.hear(ms(0), &other, 4, &link, pull()).is_empty());
 }
@@ -152,3 +152,32 @@
     two.hear(ms(2010), &"entry-0".into(), 1, &"tcp://x".into(), one.heartbeat(ms(2010)));
     assert!(two.admit(ms(2020), &ask("/safe/scan")).is_err());
 }
+
+#[test]
+fn learn_lapsed_server_goes_without_another_change() {
+    let mut balancer = ready(&[("d1", server("desk", "a", 1))]);
+    balancer.note_return(ms(10_000));
+    balancer.learn(ms(10_000), listing(20, &[]));
+    // The next word of the store brings nothing and comes after the hold.
+    balancer.learn(ms(12_500), listing(20, &[]));
+    balancer.tick(ms(12_501));
+    let mut ticket = balancer.admit(ms(12_501), &ask("/safe/scan")).unwrap();
+    assert!(balancer.choose(ms(12_501), &mut ticket).is_err());
+}
+
+/// An entry that started late doesn't know what was deleted before: one that is
+/// behind must not take its changes for all changes.
+#[test]
+fn hear_deletion_from_an_entry_that_never_saw_the_row() {
+    let mut fresh = blank("entry-1");
+    fresh.learn(ms(0), configured(2, config(1)));
+    fresh.learn(ms(0), listing(45, &[("d2", server("desk", "a", 2))]));
+    let mut behind = blank("entry-2");
+    behind.learn(ms(0), configured(2, config(1)));
+    let both = [("d1", server("desk", "a", 1)), ("d2", server("desk", "a", 2))];
+    behind.learn(ms(0), listing(40, &both));
+    for step in 0..5 {
+        beat(ms(step * 100), ("entry-1", &mut fresh), ("entry-2", &mut behind));
+    }
+    assert_eq!(common::chosen(&mut behind, ms(600), "/safe/scan"), ["d2".to_owned()].into());
+}
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use balance::config::{Account, Config, Kind as RouteKind, Limits, Pool, Route};
 use balance::content::{Content, Group, Kind, Server};
 use balance::{Ask, Balancer, Options, Ticket, Update};
-use tables::{Name, Row};
+use tables::{Name, Position, Row};
 
 /// Milliseconds since the start.
 pub fn ms(count: u64) -> Duration {
@@ -22,6 +22,7 @@
         link: format!("tcp://10.0.0.1:{}", name.len()).into(),
         seeds: Vec::new(),
         limits: balance::Limits { retry_ratio: 0.2, retry_slack: 30.0, retry_window: ms(10_000) },
+        holds: balance::hold::Bounds::default(),
         seed: 7,
     })
 }
@@ -75,27 +76,40 @@
     Server { group: Some(group), ..server("models", "a", port) }
 }
 
+/// A position in the store's first era.
+pub fn at(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
+
 /// A listing of servers.
 pub fn listing(revision: u64, servers: &[(&str, Server)]) -> Update {
     let row = |(name, server): &(&str, Server)| {
         let body = Some(Content::Server(server.clone()));
         (Name::from(*name), Row { version: revision, body })
     };
-    Update::Listing { kind: Kind::Server, revision, rows: servers.iter().map(row).collect() }
+    Update::Listing {
+        kind: Kind::Server,
+        position: at(revision),
+        rows: servers.iter().map(row).collect(),
+    }
 }
 
 /// A listing of the configuration.
 pub fn configured(revision: u64, config: Config) -> Update {
     let body = Some(Content::Config(Box::new(config)));
     let rows = vec![("main".into(), Row { version: revision, body })];
-    Update::Listing { kind: Kind::Config, revision, rows }
+    Update::Listing { kind: Kind::Config, position: at(revision), rows }
 }
 
 /// A listing of zones that are out.
 pub fn zones_out(revision: u64, zones: &[&str]) -> Update {
     let row =
         |zone: &&str| (Name::from(*zone), Row { version: revision, body: Some(Content::ZoneOut) });
-    Update::Listing { kind: Kind::Zone, revision, rows: zones.iter().map(row).collect() }
+    Update::Listing {
+        kind: Kind::Zone,
+        position: at(revision),
+        rows: zones.iter().map(row).collect(),
+    }
 }
 
 /// An entry that is ready, with the servers.
--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -7,6 +7,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
@@ -17,6 +19,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::Socket;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// How a connection fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -30,6 +33,9 @@
     /// Nothing came in time.
     #[error("no answer in time")]
     Silent,
+    /// What came is no head of an answer, or goes on beyond any head.
+    #[error("no readable head of an answer")]
+    Unreadable,
 }
 
 /// Time for a new connection. A lost opening packet is sent again only after a
@@ -55,8 +61,17 @@
 /// Part of the stated idle time that is used.
 const IDLE_SHARE: f64 = 0.6;
 
-/// Largest body of a whole answer, in bytes.
-const CALL_LIMIT: usize = 4 << 20;
+/// Largest head of an answer, and most that is read ahead of a body, in bytes.
+/// The platform's servers send some hundred bytes.
+const HEAD_LIMIT: usize = 64 << 10;
+
+/// Most informational heads before that of an answer. Servers of the platform
+/// send none; the standard allows any number.
+const INFORMATIONAL_LIMIT: usize = 16;
+
+/// Largest body of a report or of an order's answer, in bytes. The largest that
+/// the platform describes, all counts of a rank, has some ten thousand.
+const CALL_LIMIT: usize = 1 << 20;
 
 /// A connection that serves one request at a time.
 pub struct Connection {
@@ -143,7 +158,8 @@
         log::warn!(target: "backend", address:%, error:%; "socket options refused");
     }
     let socket = socket2::SockRef::from(&stream).try_clone().ok();
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake =
+        http1::Builder::new().max_buf_size(HEAD_LIMIT).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| Error::Unconnected)?;
     let driver = actix_rt::spawn(async move {
         // How it ended shows at the request that was under way.
@@ -172,18 +188,23 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unconnected`] if nothing was sent, [`Error::Broken`] otherwise.
+    /// [`Error::Unconnected`] if nothing was sent, [`Error::Unreadable`] if
+    /// what came is no head of an answer, [`Error::Broken`] otherwise.
     pub async fn send(
         &mut self,
-        request: hyper::Request<Full<Bytes>>,
+        mut request: hyper::Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, Error> {
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(Error::Unconnected),
-                None => Err(Error::Broken),
-            },
-        }
+        let flood = Arc::new(Notify::new());
+        watch_informational(&mut request, flood.clone());
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = flood.notified() => return Err(Error::Unreadable),
+        };
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Error::Unconnected,
+            None if error.error().is_parse() => Error::Unreadable,
+            None => Error::Broken,
+        })
     }
 
     /// Notes how long the backend server keeps the connection when idle.
@@ -192,6 +213,16 @@
     }
 }
 
+/// Notifies when more informational heads have come than [`INFORMATIONAL_LIMIT`].
+fn watch_informational(request: &mut hyper::Request<Full<Bytes>>, flood: Arc<Notify>) {
+    let count = AtomicUsize::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= INFORMATIONAL_LIMIT {
+            flood.notify_one();
+        }
+    });
+}
+
 /// A small whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -43,6 +43,15 @@
         /// Number of the event.
         found: u64,
     },
+    /// The answer is larger than any can be.
+    #[error("the answer goes on beyond {most} bytes")]
+    Oversized {
+        /// The bound, in bytes: of one answer or event, or of all together.
+        most: usize,
+    },
+    /// What came is no head of an answer, or goes on beyond any head.
+    #[error("no readable head of an answer")]
+    Unreadable,
     /// Nothing came for too long.
     #[error("the backend server is silent")]
     Silent,
@@ -65,7 +74,7 @@
             Error::Misdirected => Outcome::Misdirected,
             Error::Expired => Outcome::Expired,
             Error::Stale => Outcome::Stale,
-            Error::Failed { .. } => Outcome::Failed,
+            Error::Failed { .. } | Error::Oversized { .. } | Error::Unreadable => Outcome::Failed,
             Error::Silent => Outcome::Silent,
             _ => Outcome::Broken,
         }
@@ -78,6 +87,7 @@
             connection::Error::Unconnected => Error::Unconnected,
             connection::Error::Broken => Error::Broken,
             connection::Error::Silent => Error::Silent,
+            connection::Error::Unreadable => Error::Unreadable,
         }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod operations;
 mod patience;
 mod peers;
+pub mod quota;
 mod relay;
 mod reload;
 mod request;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -29,6 +29,8 @@
     pub malformed: Counter,
     /// Answers whose word on the server's leaving or pause can't be read.
     pub unreadable: Counter,
+    /// Answers that can't be read or went on beyond any bound.
+    pub unusable: Counter,
     /// Time to the first event of a stream.
     pub first: Histogram,
     /// Time to the whole answer.
@@ -55,6 +57,10 @@
                 "gateway_unreadable_notices",
                 "Answers whose word on the server's leaving or pause can't be read",
             ),
+            unusable: counter(
+                "gateway_unusable_answers",
+                "Answers that can't be read or went on beyond any bound",
+            ),
             first: histogram("gateway_first_event_seconds", "Time to the first event"),
             whole: histogram("gateway_answer_seconds", "Time to the whole answer"),
         }
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -18,15 +18,20 @@
 const SILENCE_OBJECTIVES: f64 = 2.0;
 const SILENCE_MIN: Duration = Duration::from_millis(400);
 
+/// Part of the caller's remaining time in which a begun answer to an idempotent
+/// request has to be whole; in the rest another backend server can answer.
+const WHOLE_SHARE: f64 = 0.5;
+
 /// Time between two looks whether a slow pool has recovered.
 const LOOK: Duration = Duration::from_millis(200);
 
-/// How long to wait for a sign, and what its absence means.
+/// Until when to wait for a sign, and what its absence means. What comes
+/// meanwhile and is no sign, such as a part of an event, prolongs nothing.
 pub struct Patience<'a> {
     shared: &'a Shared,
     pool: &'a Name,
     server: &'a Name,
-    wait: Duration,
+    until: Duration,
     absence: Error,
     /// When the caller's time ends.
     deadline: Duration,
@@ -45,7 +50,8 @@
         ticket: &'a Ticket,
         server: &'a Name,
     ) -> Result<Patience<'a>, Error> {
-        let left = time_left(shared.now(), ticket)?;
+        let now = shared.now();
+        let left = time_left(now, ticket)?;
         let stays = ticket.kind == Kind::Stream { resumable: true };
         let silence = match ticket.kind {
             Kind::Stream { resumable: true } => STREAM_SILENCE,
@@ -58,7 +64,29 @@
             (silence, Error::Silent)
         };
         let (pool, deadline) = (&ticket.pool, ticket.deadline);
-        Ok(Patience { shared, pool, server, wait, absence, deadline, stays })
+        let until = now + wait;
+        Ok(Patience { shared, pool, server, until, absence, deadline, stays })
+    }
+
+    /// The patience with the rest of a whole answer whose head has come.
+    ///
+    /// # Errors
+    ///
+    /// If the caller has no time left.
+    pub fn with_body(
+        shared: &'a Shared,
+        ticket: &'a Ticket,
+        server: &'a Name,
+    ) -> Result<Patience<'a>, Error> {
+        let mut patience = Patience::new(shared, ticket, server)?;
+        patience.until = patience.deadline;
+        patience.absence = Error::Expired;
+        if ticket.kind == Kind::Idempotent && ticket.attempts_left > 0 {
+            let now = shared.now();
+            patience.until = now + (patience.deadline - now).mul_f64(WHOLE_SHARE);
+            patience.absence = Error::Silent;
+        }
+        Ok(patience)
     }
 
     /// Waits for a sign.
@@ -66,10 +94,10 @@
     /// # Errors
     ///
     /// What its absence means.
-    pub async fn wait_for<T>(self, sign: impl Future<Output = T>) -> Result<T, Error> {
+    pub async fn wait_for<T>(&mut self, sign: impl Future<Output = T>) -> Result<T, Error> {
         let mut sign = std::pin::pin!(sign);
-        let mut wait = self.wait;
         loop {
+            let wait = self.until.saturating_sub(self.shared.now());
             if let Ok(sign) = actix_rt::time::timeout(wait, &mut sign).await {
                 return Ok(sign);
             }
@@ -80,7 +108,7 @@
             if !self.stays || !self.shared.balancer().is_slow(now, self.pool, self.server) {
                 return Err(self.absence);
             }
-            wait = LOOK.min(self.deadline - now);
+            self.until = now + LOOK.min(self.deadline - now);
         }
     }
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use balance::balancer::HEARTBEAT;
 use balance::content::Kind;
 use balance::gossip::Message;
+use registry::Store;
 use tables::Name;
 use tokio::sync::mpsc;
 use wire::{Frame, Link, Sender};
@@ -18,6 +19,7 @@
 /// If the link's address can't be listened on.
 pub fn start(
     shared: Arc<Shared>,
+    store: Store,
     name: Name,
     link: Name,
 ) -> Result<impl Future<Output = ()>, wire::LinkError> {
@@ -27,10 +29,15 @@
         // The receiver is gone only when the process ends.
         let _ = sender.send(frame);
     })?;
-    Ok(talk(shared, link, receiver))
+    Ok(talk(shared, store, link, receiver))
 }
 
-async fn talk(shared: Arc<Shared>, mut link: Link, mut frames: mpsc::UnboundedReceiver<Frame>) {
+async fn talk(
+    shared: Arc<Shared>,
+    store: Store,
+    mut link: Link,
+    mut frames: mpsc::UnboundedReceiver<Frame>,
+) {
     let mut beat = actix_rt::time::interval(HEARTBEAT);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut known: Vec<Name> = Vec::new();
@@ -56,10 +63,14 @@
                 for (address, message) in hear(&shared, frame) {
                     push(&mut link, &address, message);
                 }
+                let era = shared.balancer().era();
+                if store.hear_era(era) {
+                    log::warn!(target: "store", era = era; "another entry knows of a restore");
+                }
             }
         }
-        let revision = shared.balancer().revision(Kind::Config);
-        link.flush(revision);
+        let position = shared.balancer().position(Kind::Config);
+        link.flush(position.revision);
     }
 }
 
@@ -76,8 +87,8 @@
     let sender = frame.sender;
     for message in frame.messages {
         let wire::Message::Entry(message) = message else { continue };
-        if let Message::Rows(kind, delta) = &message {
-            log::info!(target: "peers", from:% = sender.name, kind:? = kind,
+        if let Message::Rows(kind, era, delta) = &message {
+            log::info!(target: "peers", from:% = sender.name, kind:? = kind, era = era,
                 revision = delta.revision, rows = delta.rows.len(); "rows from another entry");
         }
         if let Message::Slowness(slowness) = message {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use adapter::header;
 use balance::config::Kind;
 use balance::{Next, Reason, Refusal, Target, Ticket};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use connection::{Connection, Pool};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -16,12 +16,10 @@
 use crate::Error;
 use crate::events::Splitter;
 use crate::patience::{Patience, time_left};
+use crate::quota::{ANSWER_LIMIT, EVENT_LIMIT, Held};
 use crate::request::Request;
 use crate::shared::{Open, Shared};
 
-/// Largest whole answer, in bytes. The platform's largest body.
-const ANSWER_LIMIT: usize = 4 << 20;
-
 /// Age of an idle connection up to which work that must not be repeated uses
 /// it: a backend server that closes it meanwhile would leave its fate open.
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
@@ -92,6 +90,8 @@
     attempt: Option<Attempt>,
     source: Option<(Connection, Incoming)>,
     events: Splitter,
+    /// Memory of an unfinished event.
+    held: Held,
     /// When the last events of the present attempt came.
     heard: Option<Duration>,
     finished: bool,
@@ -132,6 +132,7 @@
         drop(balancer);
         let events = Splitter::new(request.last_event.unwrap_or_default());
         let open = shared.enter();
+        let held = shared.quota.hold(EVENT_LIMIT);
         let mut relay = Relay {
             context,
             request,
@@ -140,6 +141,7 @@
             attempt: None,
             source: None,
             events,
+            held,
             heard: None,
             finished: false,
             _open: open,
@@ -216,6 +218,9 @@
     fn go_on(&mut self, error: Error) -> Result<(), Refusal> {
         self.attempt = None;
         self.source = None;
+        if matches!(error, Error::Oversized { .. } | Error::Unreadable) {
+            self.shared().meter.unusable.add(1);
+        }
         let now = self.shared().now();
         let next = self.context.shared.balancer().fail(now, &mut self.ticket, error.outcome());
         log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
@@ -263,7 +268,7 @@
         let resumed = self.events.last();
         let last_event = (resumed > 0).then_some(resumed);
         let request = self.request.to_backend(&self.ticket, &self.target, left, last_event);
-        let patience = Patience::new(self.shared(), &self.ticket, &self.target.server)?;
+        let mut patience = Patience::new(self.shared(), &self.ticket, &self.target.server)?;
         let response = patience.wait_for(connection.send(request)).await??;
         self.check(&response)?;
         Ok((connection, response))
@@ -331,10 +336,10 @@
             self.source = Some((connection, body));
             return Ok(Taken::Stream(head));
         }
-        let left = self.left()?;
-        let whole = http_body_util::Limited::new(body, ANSWER_LIMIT).collect();
-        let whole = actix_rt::time::timeout(left, whole).await.map_err(|_| Error::Expired)?;
-        let body = whole.map_err(|_| Error::Broken)?.to_bytes();
+        let shared = self.shared().clone();
+        let mut patience = Patience::with_body(&shared, &self.ticket, &self.target.server)?;
+        let held = shared.quota.hold(ANSWER_LIMIT);
+        let body = patience.wait_for(read_whole(body, held)).await??;
         self.context.pool.put(connection);
         if head.status.is_server_error() && self.ticket.kind.is_repeatable() {
             return Ok(self.try_elsewhere(Answer { head, body }));
@@ -439,13 +444,14 @@
 
     /// Reads until there are whole events; nothing at the end of the stream.
     async fn read(&mut self) -> Result<Option<Bytes>, Error> {
+        let server = &self.target.server;
+        let mut patience = Patience::new(&self.context.shared, &self.ticket, server)?;
         loop {
             let events = self.events.take()?;
+            self.held.set(self.events.len())?;
             if !events.is_empty() {
                 return Ok(Some(events));
             }
-            let server = &self.target.server;
-            let patience = Patience::new(&self.context.shared, &self.ticket, server)?;
             let Some((_, body)) = &mut self.source else { return Err(Error::Broken) };
             match patience.wait_for(body.frame()).await? {
                 Some(Ok(frame)) => {
@@ -523,6 +529,19 @@
     Again,
 }
 
+/// Reads a whole body.
+async fn read_whole(mut body: Incoming, mut held: Held) -> Result<Bytes, Error> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Error::Broken)?;
+        if let Some(data) = frame.data_ref() {
+            held.set(whole.len() + data.len())?;
+            whole.extend_from_slice(data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 fn read_answer(response: &Response<Incoming>) -> header::Answer<'_> {
     let headers = response.headers();
     header::Answer::read(|name| headers.get(name).and_then(|value| value.to_str().ok()))
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -10,9 +10,11 @@
 use balance::content::Kind;
 use balance::{Balancer, Options};
 use daemon::Error;
+use registry::Registration;
 use telemetry::Metrics;
 
 use crate::meter::Meter;
+use crate::quota::Quota;
 use crate::relay::Context;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -52,22 +54,29 @@
         link: settings.link_name(),
         seeds: settings.seed_links(),
         limits: settings.limits,
+        holds: settings.holds,
         seed: incarnation,
     });
     let self_description = balancer.self_description();
-    let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics)));
-    let talk = peers::start(shared.clone(), settings.name.clone(), settings.link_name())?;
+    let quota = Quota::new(settings.memory_mb << 20);
+    let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics), quota));
+    let store = registry::Store::new(settings.store);
+    let (name, link) = (settings.name.clone(), settings.link_name());
+    let talk = peers::start(shared.clone(), store.clone(), name, link)?;
     let callers = serve(&settings, &shared, metrics)?;
     actix_rt::spawn(talk);
-    let urls = vec![format!("http://{}", settings.store).into()];
-    let client = platform::Client::new(urls, registry::ANSWER_TIMEOUT);
     for (index, kind) in Kind::ALL.into_iter().enumerate() {
         let seed = incarnation.wrapping_add(index as u64);
-        actix_rt::spawn(store::follow(shared.clone(), client.clone(), kind, seed));
+        actix_rt::spawn(store::follow(shared.clone(), store.clone(), kind, seed));
     }
-    actix_rt::spawn(store::follow_peers(shared.clone(), client.clone()));
+    actix_rt::spawn(store::follow_peers(shared.clone(), store.clone()));
     let description = adapter::store::encode_peer(&self_description);
-    actix_rt::spawn(registry::register(client, Kind::Peer, settings.name.clone(), description));
+    let name = settings.name.clone();
+    let mut registration = Registration::new(Kind::Peer, name, description, incarnation);
+    actix_rt::spawn(async move {
+        let era = registration.enter(&store).await;
+        registration.keep(store, era).await;
+    });
     actix_rt::spawn(reload::follow(shared.clone(), path, settings.clone()));
     log::info!(target: "entry", name:% = settings.name, zone:% = settings.zone,
         listen:% = settings.listen, incarnation = incarnation; "started");
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -33,12 +33,26 @@
     pub store: SocketAddr,
     /// Limits that all entries keep together.
     pub limits: balance::Limits,
+    /// How long knowledge is held that a restored store lost.
+    #[serde(default)]
+    pub holds: balance::hold::Bounds,
+    /// Memory that the process may use, in MiB.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u64,
     /// Time between the signal to stop and the end by force.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "grace_ms")]
     pub grace: Duration,
 }
 
+/// Memory where the settings state none, in MiB: that of the smallest host.
+fn memory_mb() -> u64 {
+    128
+}
+
+/// Bounds of the memory, in MiB.
+const MEMORY_BOUNDS: std::ops::RangeInclusive<f64> = 16.0..=1_048_576.0;
+
 /// Bounds of the time to stop, in milliseconds.
 const GRACE_BOUNDS: std::ops::RangeInclusive<f64> = 1_000.0..=600_000.0;
 
@@ -62,6 +76,7 @@
             }
         }
         faults.extend(Fault::outside("/grace_ms", self.grace.as_secs_f64() * 1e3, GRACE_BOUNDS));
+        faults.extend(Fault::outside("/memory_mb", self.memory_mb as f64, MEMORY_BOUNDS));
         faults.extend(Fault::outside("/limits/retry_ratio", self.limits.retry_ratio, 0.0..=10.0));
         faults
     }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 use balance::Balancer;
 
 use crate::meter::Meter;
+use crate::quota::Quota;
 
 /// State of the process.
 pub struct Shared {
@@ -15,16 +16,19 @@
     open: AtomicUsize,
     /// The instruments.
     pub meter: Meter,
+    /// Memory for answers that are being read.
+    pub quota: Quota,
 }
 
 impl Shared {
     /// The state around a balancer.
-    pub fn new(balancer: Balancer, meter: Meter) -> Shared {
+    pub fn new(balancer: Balancer, meter: Meter, quota: Quota) -> Shared {
         Shared {
             balancer: Mutex::new(balancer),
             started: Instant::now(),
             open: AtomicUsize::new(0),
             meter,
+            quota,
         }
     }
 
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use adapter::store::Page;
 use balance::Update;
 use balance::content::Kind;
 use balance::view::Delta;
 use platform::lane::{Call, Turn};
-use platform::{Client, Error, Lane};
+use platform::{Error, Lane};
+use registry::{Listed, Store};
 
 use crate::shared::Shared;
 
@@ -27,7 +27,7 @@
 const PEERS_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Keeps one kind up to date until the future is dropped.
-pub async fn follow(shared: Arc<Shared>, client: Client, kind: Kind, seed: u64) {
+pub async fn follow(shared: Arc<Shared>, store: Store, kind: Kind, seed: u64) {
     let mut lane = Lane::new(seed);
     loop {
         let now = shared.now();
@@ -35,19 +35,18 @@
             actix_rt::time::sleep(LOOK).await;
             continue;
         }
+        let era = store.era();
+        lane.note_era(era);
         let call = lane.call();
         let begun = Instant::now();
-        match make(&client, kind, call).await {
-            Ok(page) => {
-                let revision = page.revision;
-                let now = shared.now();
-                shared.balancer().note_store(now);
-                if lane.succeed(revision) == Turn::Regained {
-                    // Before the page: servers may be missing from it that only lapsed.
-                    shared.balancer().note_return(now);
-                    log::info!(target: "store", kind:? = kind, revision = revision; "regained");
-                }
-                take(&shared, kind, call, page);
+        let result = tokio::select! {
+            result = make(&store, kind, call) => result,
+            // A watch that waits in an earlier era brings nothing.
+            _ = store.later_era(era), if call != Call::List => continue,
+        };
+        match result {
+            Ok(listed) => {
+                note_success(&shared, &mut lane, kind, call, listed);
                 actix_rt::time::sleep(PACE.saturating_sub(begun.elapsed())).await;
             }
             Err(error) => {
@@ -65,24 +64,45 @@
     }
 }
 
-async fn make(client: &Client, kind: Kind, call: Call) -> Result<Page, Error> {
+async fn make(store: &Store, kind: Kind, call: Call) -> Result<Listed, Error> {
     match call {
-        Call::List => registry::list(client, kind).await,
-        Call::Watch(since) => registry::watch(client, kind, since, WATCH_WAIT).await,
+        Call::List => store.list(kind).await,
+        Call::Watch(since) => store.watch(kind, since.revision, WATCH_WAIT).await,
+    }
+}
+
+fn note_success(shared: &Arc<Shared>, lane: &mut Lane, kind: Kind, call: Call, listed: Listed) {
+    let now = shared.now();
+    let position = listed.position;
+    match lane.succeed(call, position) {
+        Turn::Restored => {
+            log::warn!(target: "store", kind:? = kind, position:% = position; "restored");
+            return;
+        }
+        Turn::Regained => {
+            // Before the page: servers may be missing from it that only lapsed.
+            shared.balancer().note_return(now);
+            log::info!(target: "store", kind:? = kind, position:% = position; "regained");
+        }
+        Turn::None | Turn::Lost => {}
     }
+    shared.balancer().note_store(now);
+    take(shared, kind, call, listed);
 }
 
-fn take(shared: &Arc<Shared>, kind: Kind, call: Call, page: Page) {
+fn take(shared: &Arc<Shared>, kind: Kind, call: Call, listed: Listed) {
+    let Listed { position, page } = listed;
     if page.malformed > 0 {
         shared.meter.malformed.add(page.malformed as u64);
         log::warn!(target: "store", kind:? = kind, count = page.malformed; "unreadable objects");
     }
-    let revision = page.revision;
     let rows = page.rows.len();
     let update = match call {
-        Call::List => Update::Listing { kind, revision, rows: page.rows },
+        Call::List => Update::Listing { kind, position, rows: page.rows },
         Call::Watch(since) => {
-            Update::Changes { kind, delta: Delta { since, revision, rows: page.rows } }
+            let since = since.revision;
+            let delta = Delta { since, revision: position.revision, rows: page.rows };
+            Update::Changes { kind, era: position.era, delta }
         }
     };
     let now = shared.now();
@@ -93,7 +113,7 @@
     let version = balancer.config().map_or(0, |config| config.version);
     drop(balancer);
     if changed && rows > 0 {
-        log::info!(target: "store", kind:? = kind, revision = revision, rows = rows,
+        log::info!(target: "store", kind:? = kind, position:% = position, rows = rows,
             config = version; "learned");
     }
     if ready != was_ready {
@@ -103,10 +123,10 @@
 
 /// Keeps up which other entries there are, from data that may be old: what
 /// they say themselves is newer.
-pub async fn follow_peers(shared: Arc<Shared>, client: Client) {
+pub async fn follow_peers(shared: Arc<Shared>, store: Store) {
     loop {
-        match registry::list_stale(&client, Kind::Peer).await {
-            Ok(page) => take(&shared, Kind::Peer, Call::List, page),
+        match store.list_stale(Kind::Peer).await {
+            Ok(listed) => take(&shared, Kind::Peer, Call::List, listed),
             Err(error) => {
                 shared.meter.store_failures.add(1);
                 log::info!(target: "store", error:% = error; "entries not listed");
--- /dev/null
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -0,0 +1,486 @@
+//! Entries, the store, operators and servers; the shipping decisions run.
+#![allow(clippy::unwrap_used)]
+
+mod store;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use balance::config::{Account, Config, Kind as RouteKind, Limits, Pool, Route};
+use balance::content::{Content, Kind, Server};
+use balance::view::Delta;
+use balance::{Ask, Balancer, Options, Update};
+use platform::lane::{Call, Turn};
+use platform::{Error, Lane};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use store::{Answer, Store};
+use tables::{Name, Position};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const ENTRIES: usize = 4;
+const STEP: Duration = Duration::from_millis(50);
+
+/// Time for which a walk is left alone before all must be in force.
+const CALM: Duration = Duration::from_secs(26);
+
+struct Flight {
+    due: Duration,
+    kind: usize,
+    call: Call,
+    result: Result<Answer, Error>,
+}
+
+struct Entry {
+    name: Name,
+    incarnation: u64,
+    balancer: Balancer,
+    lanes: Vec<Lane>,
+    ready_at: Vec<Duration>,
+    flights: Vec<Flight>,
+    era: u64,
+    from_store: bool,
+    from_peers: bool,
+    version: u64,
+    /// Zones that are out, as the entry once knew.
+    knew_out: BTreeSet<&'static str>,
+    /// Servers that left, as the entry once knew.
+    knew_left: BTreeSet<Name>,
+}
+
+pub struct World {
+    pub now: Duration,
+    rng: ChaCha8Rng,
+    store: Store,
+    entries: Vec<Entry>,
+    version: u64,
+    servers: u64,
+    left: BTreeSet<Name>,
+    /// Where zones were last taken out or back.
+    out_since: BTreeMap<&'static str, Position>,
+    outage: Option<(Duration, Duration)>,
+    pub actions: BTreeMap<&'static str, u32>,
+}
+
+fn config(version: u64) -> Config {
+    let route = |zone: &str| Route {
+        name: zone.into(),
+        host: "shop".into(),
+        prefix: format!("/{zone}/").into(),
+        pools: vec![(zone.into(), 1)],
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(60),
+        objective: Duration::from_millis(200),
+        gap: None,
+        attempts: 99,
+        priority: 1,
+        public: false,
+    };
+    Config {
+        version,
+        routes: ZONES.iter().map(|zone| route(zone)).collect(),
+        pools: ZONES.iter().map(|zone| (Name::from(*zone), Pool::default())).collect(),
+        keys: BTreeMap::from([(
+            format!("key-{version}").into(),
+            Account { name: "benches".into(), priority: 1 },
+        )]),
+        limits: Limits { body: 1000 },
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let mut world = World {
+            now: Duration::from_secs(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            store: Store::new(),
+            entries: Vec::new(),
+            version: 1,
+            servers: 0,
+            left: BTreeSet::new(),
+            out_since: BTreeMap::new(),
+            outage: None,
+            actions: BTreeMap::new(),
+        };
+        world.write_config();
+        for _ in 0..5 {
+            world.add_server();
+        }
+        world.entries = (0..ENTRIES).map(|index| entry(index, 1)).collect();
+        world
+    }
+
+    pub fn restores(&self) -> u32 {
+        self.store.restores
+    }
+
+    /// Lets the world go on for some time, with or without new trouble.
+    pub fn run(&mut self, time: Duration, troubled: bool) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            if troubled {
+                self.act();
+            }
+            self.drill();
+            self.store.rewrite(self.now);
+            if self.rng.random_range(0..6) == 0 {
+                self.store.copy(self.now);
+            }
+            for index in 0..self.entries.len() {
+                self.talk_to_store(index);
+            }
+            self.beat();
+            if self.rng.random_range(0..4) == 0 {
+                self.check();
+            }
+        }
+    }
+
+    /// Ends all trouble, waits and compares with what is true.
+    pub fn settle(&mut self) {
+        for entry in &mut self.entries {
+            (entry.from_store, entry.from_peers) = (true, true);
+        }
+        self.run(CALM, false);
+        let now = self.now;
+        for index in 0..self.entries.len() {
+            assert_eq!(self.entries[index].version, self.version, "configuration of {index}");
+            for zone in ZONES {
+                let usable = self.usable(index, zone);
+                let dump = self.shown(now);
+                assert_eq!(usable, self.expected(zone), "zone {zone} at {index}, {now:?}: {dump}");
+            }
+        }
+    }
+
+    /// What the entries hold against the store, to explain a failure.
+    fn shown(&self, now: Duration) -> String {
+        let shown = self.entries.iter().map(|entry| {
+            let dump = entry.balancer.dump(now);
+            format!(
+                "\n{} {} {} {}",
+                entry.name, dump["positions"], dump["zones_out"], dump["holds"]
+            )
+        });
+        shown.collect()
+    }
+
+    fn expected(&self, zone: &str) -> BTreeSet<Name> {
+        if self.is_out(zone) {
+            return BTreeSet::new();
+        }
+        let live = self.store.truth.iter().filter_map(|((_, name), content)| match content {
+            Content::Server(server) if server.zone.as_str() == zone && !server.draining => {
+                Some(name.clone())
+            }
+            _ => None,
+        });
+        live.collect()
+    }
+
+    fn is_out(&self, zone: &str) -> bool {
+        self.store.truth.contains_key(&(Kind::Zone, zone.into()))
+    }
+
+    fn act(&mut self) {
+        let action = self.rng.random_range(0..260);
+        let name = match action {
+            0..=5 if self.store.up => {
+                self.version += self.rng.random_range(1..4);
+                self.write_config();
+                "config"
+            }
+            6..=11 if self.store.up => {
+                self.toggle_zone();
+                "zone"
+            }
+            12..=16 if self.store.up => {
+                self.add_server();
+                "server"
+            }
+            17..=21 if self.store.up => {
+                self.remove_server(action % 2 == 0);
+                "server left"
+            }
+            22..=24 if self.outage.is_none() => {
+                let away = Duration::from_millis(self.rng.random_range(50..2500));
+                let age = Duration::from_millis(self.rng.random_range(100..8000));
+                self.outage = Some((self.now + away, age));
+                self.store.up = false;
+                "restore"
+            }
+            25..=30 => {
+                let entry = self.rng.random_range(0..ENTRIES);
+                self.entries[entry].from_store ^= true;
+                "cut from the store"
+            }
+            31..=36 => {
+                let entry = self.rng.random_range(0..ENTRIES);
+                self.entries[entry].from_peers ^= true;
+                "cut from entries"
+            }
+            37 => {
+                let index = self.rng.random_range(0..ENTRIES);
+                let incarnation = self.entries[index].incarnation + 1;
+                self.entries[index] = entry(index, incarnation);
+                "entry restarted"
+            }
+            _ => return,
+        };
+        *self.actions.entry(name).or_default() += 1;
+    }
+
+    fn drill(&mut self) {
+        if let Some((end, age)) = self.outage
+            && self.now >= end
+        {
+            self.outage = None;
+            self.store.restore(self.now, age, &mut self.rng);
+            self.store.up = true;
+        }
+    }
+
+    fn write_config(&mut self) {
+        let content = Content::Config(Box::new(config(self.version)));
+        self.store.write(Kind::Config, &"main".into(), Some(content));
+    }
+
+    fn toggle_zone(&mut self) {
+        let zone = ZONES[self.rng.random_range(0..ZONES.len())];
+        let out = !self.is_out(zone);
+        self.store.write(Kind::Zone, &zone.into(), out.then_some(Content::ZoneOut));
+        self.out_since.insert(zone, self.store.position());
+        for entry in &mut self.entries {
+            entry.knew_out.remove(zone);
+        }
+    }
+
+    fn add_server(&mut self) {
+        self.servers += 1;
+        let zone = ZONES[self.rng.random_range(0..ZONES.len())];
+        let server = Server {
+            pool: zone.into(),
+            address: ([10, 0, 0, 1], self.servers as u16).into(),
+            zone: zone.into(),
+            slots: 4,
+            draining: false,
+            cold: Duration::ZERO,
+            born: self.servers,
+            group: None,
+        };
+        let name = Name::from(format!("s{}", self.servers));
+        self.store.write(Kind::Server, &name, Some(Content::Server(server)));
+    }
+
+    fn remove_server(&mut self, announced: bool) {
+        let live = self.store.truth.iter().filter_map(|((_, name), content)| match content {
+            Content::Server(server) => Some((name.clone(), server.clone())),
+            _ => None,
+        });
+        let live: Vec<(Name, Server)> = live.collect();
+        if live.len() < 3 {
+            return;
+        }
+        let (name, server) = live[self.rng.random_range(0..live.len())].clone();
+        self.left.insert(name.clone());
+        // One that drains already leaves.
+        let drains = announced && !server.draining;
+        let content = drains.then_some(Content::Server(Server { draining: true, ..server }));
+        self.store.write(Kind::Server, &name, content);
+    }
+
+    fn talk_to_store(&mut self, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        let (due, later) =
+            std::mem::take(&mut entry.flights).into_iter().partition(|f: &Flight| f.due <= now);
+        entry.flights = later;
+        let due: Vec<Flight> = due;
+        for flight in due {
+            take(entry, now, flight);
+        }
+        if !entry.balancer.follows_store(now) {
+            return;
+        }
+        for kind in 0..Kind::ALL.len() {
+            let busy = entry.flights.iter().any(|flight| flight.kind == kind);
+            if busy || now < entry.ready_at[kind] {
+                continue;
+            }
+            entry.lanes[kind].note_era(entry.era);
+            let call = entry.lanes[kind].call();
+            let result = if entry.from_store {
+                self.store.serve(Kind::ALL[kind], call)
+            } else {
+                Err(Error::Unreachable)
+            };
+            let due = now + Duration::from_millis(self.rng.random_range(0..800));
+            entry.flights.push(Flight { due, kind, call, result });
+        }
+    }
+
+    fn beat(&mut self) {
+        let now = self.now;
+        let mut frames = Vec::new();
+        for (from, entry) in self.entries.iter_mut().enumerate() {
+            entry.balancer.tick(now);
+            if entry.from_peers {
+                frames.push((from, entry.balancer.heartbeat(now), None));
+            }
+        }
+        while let Some((from, message, to)) = frames.pop() {
+            let sender = (self.entries[from].name.clone(), self.entries[from].incarnation);
+            for index in 0..self.entries.len() {
+                let entry = &mut self.entries[index];
+                let meant = to.as_ref().is_none_or(|to| *to == link(&entry.name));
+                if index == from || !entry.from_peers || !meant {
+                    continue;
+                }
+                let message = message.clone();
+                let from_link = link(&sender.0);
+                let replies = entry.balancer.hear(now, &sender.0, sender.1, &from_link, message);
+                entry.era = entry.era.max(entry.balancer.era());
+                frames.extend(replies.into_iter().map(|(to, reply)| (index, reply, Some(to))));
+            }
+        }
+    }
+
+    /// The servers of a zone that an entry would send to.
+    fn usable(&mut self, index: usize, zone: &str) -> BTreeSet<Name> {
+        let now = self.now;
+        let balancer = &mut self.entries[index].balancer;
+        let key = balancer.config().and_then(|config| config.keys.keys().next().cloned());
+        let path = format!("/{zone}/");
+        let ask = Ask {
+            host: "shop",
+            path: &path,
+            key: key.as_deref(),
+            patience: None,
+            prompt_tokens: 0,
+            fingerprint: 1,
+        };
+        let mut usable = BTreeSet::new();
+        let Ok(mut ticket) = balancer.admit(now, &ask) else { return usable };
+        while let Ok(target) = balancer.choose(now, &mut ticket) {
+            balancer.release(&target.server);
+            usable.insert(target.server);
+        }
+        usable
+    }
+
+    fn check(&mut self) {
+        for index in 0..self.entries.len() {
+            let version = self.entries[index].balancer.config().map_or(0, |config| config.version);
+            let before = self.entries[index].version;
+            assert!(version >= before, "{before} to {version} at {index}, {:?}", self.now);
+            self.entries[index].version = version;
+            if !self.entries[index].balancer.is_ready() {
+                continue;
+            }
+            for zone in ZONES {
+                self.check_zone(index, zone);
+            }
+        }
+    }
+
+    fn check_zone(&mut self, index: usize, zone: &'static str) {
+        let usable = self.usable(index, zone);
+        let out = self.is_out(zone);
+        let now = self.now;
+        let known = self.entries[index].balancer.dump(now);
+        let members = known["members"].as_object().unwrap();
+        let listed = |name: &Name| members.get(name.as_str());
+        let entry = &mut self.entries[index];
+        if out && entry.knew_out.contains(zone) {
+            assert!(usable.is_empty(), "{zone} in use at {index}, {now:?}");
+        }
+        // Not as it was out some time before.
+        let seen =
+            self.out_since.get(zone).is_some_and(|at| entry.balancer.position(Kind::Zone) >= *at);
+        if out && seen && known["zones_out"].as_array().unwrap().iter().any(|name| name == zone) {
+            entry.knew_out.insert(zone);
+        }
+        for name in &self.left {
+            assert!(
+                !(entry.knew_left.contains(name) && usable.contains(name)),
+                "{name} revived at {index}, {now:?}"
+            );
+            let shown = listed(name);
+            if shown.is_some_and(|member| member["draining"] == true) {
+                entry.knew_left.insert(name.clone());
+            }
+        }
+    }
+}
+
+fn link(name: &Name) -> Name {
+    format!("tcp://{name}").into()
+}
+
+fn entry(index: usize, incarnation: u64) -> Entry {
+    let name = Name::from(format!("entry-{index}"));
+    let seed = index as u64 * 100 + incarnation;
+    let options = Options {
+        name: name.clone(),
+        zone: "a".into(),
+        link: link(&name),
+        seeds: Vec::new(),
+        limits: balance::Limits {
+            retry_ratio: 1.0,
+            retry_slack: 1e9,
+            retry_window: Duration::from_secs(10),
+        },
+        holds: balance::hold::Bounds::default(),
+        seed,
+    };
+    Entry {
+        name,
+        incarnation,
+        balancer: Balancer::new(options),
+        lanes: (0..Kind::ALL.len()).map(|kind| Lane::new(seed + kind as u64)).collect(),
+        ready_at: vec![Duration::ZERO; Kind::ALL.len()],
+        flights: Vec::new(),
+        era: 0,
+        from_store: true,
+        from_peers: true,
+        version: 0,
+        knew_out: BTreeSet::new(),
+        knew_left: BTreeSet::new(),
+    }
+}
+
+/// An answer of the store arrives, as the registry and the entry take it.
+fn take(entry: &mut Entry, now: Duration, flight: Flight) {
+    let Flight { kind, call, result, .. } = flight;
+    let result = result.and_then(|answer| {
+        if answer.position.era < entry.era { Err(Error::Outdated) } else { Ok(answer) }
+    });
+    let lane = &mut entry.lanes[kind];
+    let answer = match result {
+        Ok(answer) => answer,
+        Err(error) => {
+            entry.ready_at[kind] = now + lane.fail(&error).1;
+            return;
+        }
+    };
+    entry.era = answer.position.era;
+    let turn = lane.succeed(call, answer.position);
+    if turn == Turn::Restored {
+        return;
+    }
+    entry.balancer.note_store(now);
+    if turn == Turn::Regained {
+        entry.balancer.note_return(now);
+    }
+    let kind = Kind::ALL[kind];
+    let Answer { position, rows } = answer;
+    let update = match call {
+        Call::List => Update::Listing { kind, position, rows },
+        Call::Watch(since) => {
+            let delta = Delta { since: since.revision, revision: position.revision, rows };
+            Update::Changes { kind, era: position.era, delta }
+        }
+    };
+    entry.balancer.learn(now, update);
+}
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -36,6 +36,7 @@
     urls: Rc<[Name]>,
     current: Rc<Cell<usize>>,
     timeout: Duration,
+    era_header: Option<&'static str>,
 }
 
 struct Call {
@@ -57,7 +58,12 @@
             .disable_redirects()
             .disable_timeout()
             .finish();
-        Client { http, urls: urls.into(), current: Rc::default(), timeout }
+        Client { http, urls: urls.into(), current: Rc::default(), timeout, era_header: None }
+    }
+
+    /// The client for a service that numbers its restores in a header.
+    pub fn with_era_header(self, name: &'static str) -> Client {
+        Client { era_header: Some(name), ..self }
     }
 
     /// Reads an object.
@@ -210,9 +216,11 @@
         let mut response = response.timeout(call.timeout);
         let retry_after = response.headers().get(RETRY_AFTER).and_then(seconds);
         let status = response.status().as_u16();
+        let era = self.era_header.and_then(|name| response.headers().get(name));
+        let era = era.and_then(|value| Some(value.to_str().ok()?.into()));
         let body = response.body().limit(BODY_LIMIT).await;
         let body = body.map_err(|_| Error::Unknown)?;
-        Ok(Reply { status, retry_after, body })
+        Ok(Reply { status, retry_after, era, body })
     }
 }
 
--- a/components/platform/src/error.rs
+++ b/components/platform/src/error.rs
@@ -34,6 +34,10 @@
     /// Changes since the given revision are no longer kept: list again.
     #[error("the changes asked for are no longer kept")]
     Gone,
+    /// The reply is older than the last restore of the platform's data that is
+    /// known. What it says counts for nothing.
+    #[error("the reply is older than the platform's last restore")]
+    Outdated,
     /// The platform rejected the call, or a reply to a read can't be decoded.
     /// Nothing was changed.
     #[error("the call was not understood (status {status})")]
@@ -51,7 +55,7 @@
     /// assert!(!platform::Error::Unknown.is_without_effect());
     /// ```
     pub fn is_without_effect(&self) -> bool {
-        !matches!(self, Error::Unknown)
+        !matches!(self, Error::Unknown | Error::Outdated)
     }
 }
 
--- a/components/platform/src/lane.rs
+++ b/components/platform/src/lane.rs
@@ -4,6 +4,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tables::Position;
 
 use crate::Error;
 
@@ -22,8 +23,8 @@
 pub enum Call {
     /// List all objects.
     List,
-    /// Wait for changes after a revision.
-    Watch(u64),
+    /// Wait for changes after a position.
+    Watch(Position),
 }
 
 /// What a result means for the store's standing.
@@ -35,21 +36,29 @@
     Lost,
     /// The store answers again.
     Regained,
+    /// The store was restored since the last listing: the answer to a watch
+    /// says nothing, and all is listed anew.
+    Restored,
 }
 
 /// The calls for one kind; one is under way at a time.
 ///
 /// ```
-/// use platform::lane::{Call, Lane};
+/// use platform::lane::{Call, Lane, Turn};
+/// use tables::Position;
 /// let mut lane = Lane::new(1);
 /// assert_eq!(lane.call(), Call::List);
-/// lane.succeed(7);
-/// assert_eq!(lane.call(), Call::Watch(7));
+/// let listed = Position { era: 1, revision: 7 };
+/// lane.succeed(Call::List, listed);
+/// assert_eq!(lane.call(), Call::Watch(listed));
+/// let restored = Position { era: 2, revision: 5 };
+/// assert_eq!(lane.succeed(lane.call(), restored), Turn::Restored);
+/// assert_eq!(lane.call(), Call::List);
 /// ```
 #[derive(Debug)]
 pub struct Lane {
     rng: ChaCha8Rng,
-    listed: Option<u64>,
+    listed: Option<Position>,
     failures: u32,
 }
 
@@ -64,11 +73,23 @@
         self.listed.map_or(Call::List, Call::Watch)
     }
 
-    /// A call brought what there is up to a revision.
-    pub fn succeed(&mut self, revision: u64) -> Turn {
+    /// The store was restored and is in `era` now: what was listed in an
+    /// earlier one is listed anew.
+    pub fn note_era(&mut self, era: u64) {
+        self.listed = self.listed.filter(|listed| listed.era >= era);
+    }
+
+    /// A call brought what there is up to a position.
+    pub fn succeed(&mut self, call: Call, position: Position) -> Turn {
         let lost = self.failures >= FAILURES_UNTIL_LOST;
         self.failures = 0;
-        self.listed = Some(revision.max(self.listed.unwrap_or_default()));
+        if let Call::Watch(since) = call
+            && since.era != position.era
+        {
+            self.listed = None;
+            return Turn::Restored;
+        }
+        self.listed = Some(position.max(self.listed.unwrap_or_default()));
         if lost { Turn::Regained } else { Turn::None }
     }
 
--- a/components/platform/src/reply.rs
+++ b/components/platform/src/reply.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
+use tables::Name;
 
 use crate::{Error, Object, Version};
 
@@ -17,6 +18,9 @@
     pub status: u16,
     /// The wait that a 429 asks for.
     pub retry_after: Option<Duration>,
+    /// Text of the header that numbers the service's restores, where the client
+    /// was told its name and the reply has it.
+    pub era: Option<Name>,
     /// The body.
     pub body: Bytes,
 }
@@ -26,7 +30,7 @@
     ///
     /// ```
     /// let body = br#"{"version": 4}"#;
-    /// let reply = platform::Reply { status: 200, retry_after: None, body: body[..].into() };
+    /// let reply = platform::Reply { status: 200, retry_after: None, era: None, body: body[..].into() };
     /// assert_eq!(reply.read(), Ok(platform::Version { version: 4 }));
     /// ```
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, Error> {
@@ -50,7 +54,7 @@
     /// The result of reading one object, which may be absent.
     ///
     /// ```
-    /// let reply = platform::Reply { status: 404, retry_after: None, body: Default::default() };
+    /// let reply = platform::Reply { status: 404, retry_after: None, era: None, body: Default::default() };
     /// assert_eq!(reply.object(), Ok(None));
     /// ```
     pub fn object(&self) -> Result<Option<Object>, Error> {
@@ -66,7 +70,7 @@
     /// reply of success that can't be decoded.
     ///
     /// ```
-    /// let reply = platform::Reply { status: 503, retry_after: None, body: Default::default() };
+    /// let reply = platform::Reply { status: 503, retry_after: None, era: None, body: Default::default() };
     /// assert_eq!(reply.written(), Err(platform::Error::Unknown));
     /// ```
     pub fn written(&self) -> Result<u64, Error> {
--- a/components/platform/tests/reply.rs
+++ b/components/platform/tests/reply.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 fn reply(status: u16, body: &str) -> Reply {
-    Reply { status, retry_after: None, body: body.to_owned().into() }
+    Reply { status, retry_after: None, era: None, body: body.to_owned().into() }
 }
 
 #[rstest]
--- a/components/rank/src/agent/mod.rs
+++ b/components/rank/src/agent/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use balance::content::{Agent as Described, Content};
+use balance::content::Agent as Described;
 use connection::Pool;
 use group::placement::demand::Reading;
 use group::switch::{Command, Leader, Message, Model, Order, Report, Status};
@@ -109,7 +109,7 @@
     /// A frame of another agent.
     Frame(Frame),
     /// The agents that the store names, and the model that the group serves.
-    Known(Vec<(Name, Content)>, Option<Model>),
+    Known(BTreeMap<Name, Described>, Option<Model>),
     /// Address and report of a rank whose agent is silent.
     Remote(SocketAddr, Report),
     /// Links of the entries that the store names.
@@ -444,20 +444,13 @@
         }
     }
 
-    fn take_known(&mut self, agents: Vec<(Name, Content)>, model: Option<Model>) {
+    fn take_known(&mut self, agents: BTreeMap<Name, Described>, model: Option<Model>) {
         let Some(group) = self.report.as_ref().map(|report| Name::from(report.group.as_str()))
         else {
             return;
         };
-        let mut described = BTreeMap::new();
-        for (name, content) in agents {
-            if let Content::Agent(agent) = content
-                && agent.group == group
-            {
-                described.insert(name, agent);
-            }
-        }
-        self.described = described;
+        self.described = agents;
+        self.described.retain(|_, agent| agent.group == group);
         let now = self.now();
         let names = self.described.keys().cloned().collect();
         let led = self.follow.leads();
--- a/components/rank/src/lib.rs
+++ b/components/rank/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod follow;
 mod own;
+pub mod roster;
 mod run;
 mod settings;
 pub mod spread;
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balance::config::Config;
 use balance::content::{Agent as Described, Content, Kind};
@@ -10,7 +10,7 @@
 use daemon::Error;
 use group::placement::even::Bounds;
 use group::switch::{Model, Report};
-use platform::Client;
+use registry::{Registration, Store};
 use tables::Name;
 use telemetry::{Metrics, Readiness};
 use tokio::sync::mpsc;
@@ -18,6 +18,7 @@
 
 use crate::agent::{Agent, Event};
 use crate::own;
+use crate::roster::Roster;
 use crate::settings::Settings;
 
 /// Time between two looks at which agents there are.
@@ -61,10 +62,9 @@
             let _ = forward.send(Event::Remote(address, report));
         }
     });
-    let urls = vec![format!("http://{}", settings.store).into()];
-    let client = Client::new(urls, registry::ANSWER_TIMEOUT);
+    let store = Store::new(settings.store);
     let leads = Rc::new(Cell::new(false));
-    actix_rt::spawn(look(settings.clone(), client, events, leads.clone()));
+    actix_rt::spawn(look(settings.clone(), store, events, leads.clone()));
     let agent = Agent::new(settings.clone(), link, remote, leads);
     actix_rt::spawn(agent.run(received));
     actix_rt::spawn(daemon::hangups(|| {
@@ -92,7 +92,7 @@
 /// Enters the agent into the store and looks for the others.
 async fn look(
     settings: Settings,
-    client: Client,
+    store: Store,
     events: mpsc::UnboundedSender<Event>,
     leads: Rc<Cell<bool>>,
 ) {
@@ -103,19 +103,26 @@
         group: report.group.as_str().into(),
     };
     let description = adapter::store::encode_agent(&described);
-    registry::register(client.clone(), Kind::Agent, settings.name.clone(), description).await;
+    let name = settings.name.clone();
+    let mut registration = Registration::new(Kind::Agent, name, description, daemon::incarnation());
+    let era = registration.enter(&store).await;
+    actix_rt::spawn(registration.keep(store.clone(), era));
+    let started = Instant::now();
+    let mut roster = Roster::default();
     let mut served = None;
     loop {
         if served.is_none() {
-            served = model(&client, &settings.pool).await;
+            served = model(&store, &settings.pool).await;
+        }
+        if let Some((era, agents)) = agents(&store).await {
+            roster.learn(started.elapsed(), era, agents);
         }
-        let agents = agents(&client).await.unwrap_or_default();
-        let whole = agents.len() >= report.size as usize;
-        if !agents.is_empty() {
-            let _ = events.send(Event::Known(agents, served));
+        let whole = roster.agents().len() >= report.size as usize;
+        if !roster.agents().is_empty() {
+            let _ = events.send(Event::Known(roster.agents().clone(), served));
         }
         if leads.get()
-            && let Some(links) = entries(&client).await
+            && let Some(links) = entries(&store).await
         {
             let _ = events.send(Event::Entries(links));
         }
@@ -138,10 +145,10 @@
 }
 
 /// The links of the entries, for a leader that has something to tell them.
-async fn entries(client: &Client) -> Option<Vec<Name>> {
-    match registry::list_stale(client, Kind::Peer).await {
-        Ok(page) => {
-            let bodies = page.rows.into_iter().filter_map(|(_, row)| row.body);
+async fn entries(store: &Store) -> Option<Vec<Name>> {
+    match store.list_stale(Kind::Peer).await {
+        Ok(listed) => {
+            let bodies = listed.page.rows.into_iter().filter_map(|(_, row)| row.body);
             let links = bodies.filter_map(|content| match content {
                 Content::Peer(peer) => Some(peer.link),
                 _ => None,
@@ -155,10 +162,16 @@
     }
 }
 
-async fn agents(client: &Client) -> Option<Vec<(Name, Content)>> {
-    match registry::list_stale(client, Kind::Agent).await {
-        Ok(page) => {
-            Some(page.rows.into_iter().filter_map(|(n, row)| Some((n, row.body?))).collect())
+/// The agents that the store names, and the store's era.
+async fn agents(store: &Store) -> Option<(u64, Vec<(Name, Described)>)> {
+    match store.list_stale(Kind::Agent).await {
+        Ok(listed) => {
+            let rows = listed.page.rows.into_iter();
+            let agents = rows.filter_map(|(name, row)| match row.body? {
+                Content::Agent(agent) => Some((name, agent)),
+                _ => None,
+            });
+            Some((listed.position.era, agents.collect()))
         }
         Err(error) => {
             log::info!(target: "store", error:% = error; "agents not listed");
@@ -168,15 +181,15 @@
 }
 
 /// What the configuration says of the model that the pool serves.
-async fn model(client: &Client, pool: &Name) -> Option<Model> {
-    let page = match registry::list_stale(client, Kind::Config).await {
-        Ok(page) => page,
+async fn model(store: &Store, pool: &Name) -> Option<Model> {
+    let listed = match store.list_stale(Kind::Config).await {
+        Ok(listed) => listed,
         Err(error) => {
             log::info!(target: "store", error:% = error; "configuration not read");
             return None;
         }
     };
-    let bodies = page.rows.into_iter().filter_map(|(_, row)| row.body);
+    let bodies = listed.page.rows.into_iter().filter_map(|(_, row)| row.body);
     let configs = bodies.filter_map(|content| match content {
         Content::Config(config) => Some(config),
         _ => None,
--- a/components/tables/src/lib.rs
+++ b/components/tables/src/lib.rs
@@ -7,12 +7,14 @@
 mod check;
 mod error;
 pub mod host;
+mod position;
 mod row;
 mod table;
 
 pub use check::check;
 pub use error::{Error, Fault};
 pub use host::Host;
+pub use position::Position;
 pub use row::{
     Account, Body, Content, Key, Kind, Pool, PoolKind, Route, Row, Server, Suspect, Zone,
 };
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -52,6 +52,15 @@
         Process::start_file(program, &file(&format!("{name}.json"), &text))
     }
 
+    /// The most memory that the process has used, in KiB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process's status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse().ok());
+        kb.expect("a peak of memory")
+    }
+
     /// Starts a program with a settings file.
     pub fn start_file(program: &[&str], file: &Path) -> Process {
         let name = file.with_extension("log");
