Read the change again: no late subtraction, one look at listed servers

The time left for the rest of an answer was taken by two looks at the clock, and the second may lie beyond the deadline, where subtracting panics; it saturates now. Answers of the store were bounded by 64 MB on hosts of 128 MB; pages have about 1 MB, so 8 MB bound them here. An update without rows copies no servers, others look at them once. The first era seen is no warning.

--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -55,6 +55,14 @@
     },
 }
 
+impl Update {
+    fn rows(&self) -> &[(Name, Row<Content>)] {
+        let (Update::Listing { rows, .. } | Update::Changes { delta: Delta { rows, .. }, .. }) =
+            self;
+        rows
+    }
+}
+
 /// The rows of a kind and the era that they are of.
 #[derive(Clone, Debug, Default)]
 struct Shelf {
@@ -149,7 +157,9 @@
             whole && self.restore(now, kind, era, update)
         } else {
             self.shelves.entry(kind).or_default().era = era;
-            if kind == Kind::Server {
+            // Copies of all servers are only needed if some may vanish.
+            let moves = whole || !self.lapsed.is_empty() || !update.rows().is_empty();
+            if kind == Kind::Server && moves {
                 let before = self.listed_servers();
                 let left = self.left(now, &before);
                 let changed = self.take(kind, update);
@@ -289,13 +299,18 @@
         before: BTreeMap<Name, Server>,
         left: &BTreeSet<Start>,
     ) {
-        self.note_departed(now, &before);
-        self.hold_lapsed(now, before, left);
+        let listed = self.listed_servers();
+        self.note_departed(now, &before, &listed);
+        self.hold_lapsed(now, before, left, &listed);
     }
 
     /// Remembers the starts that are no longer entered.
-    fn note_departed(&mut self, now: Duration, before: &BTreeMap<Name, Server>) {
-        let listed = self.listed_servers();
+    fn note_departed(
+        &mut self,
+        now: Duration,
+        before: &BTreeMap<Name, Server>,
+        listed: &BTreeMap<Name, Server>,
+    ) {
         self.departed.retain(|name, departed| {
             !listed.contains_key(name) && now < departed.at + DEPARTED_LIFETIME
         });
@@ -326,8 +341,8 @@
         now: Duration,
         before: BTreeMap<Name, Server>,
         left: &BTreeSet<Start>,
+        listed: &BTreeMap<Name, Server>,
     ) {
-        let listed = self.listed_servers();
         self.lapsed.retain(|name, (_, until)| !listed.contains_key(name) && now < *until);
         let until = self.returned_at.map(|at| at + LAPSE_HOLD).filter(|until| now < *until);
         let Some(until) = until else { return };
@@ -386,9 +401,7 @@
     /// The configuration with the highest version, of those known and those in
     /// an update of whatever era, with the name of its row.
     fn best_config(&self, update: &Update) -> Option<(Name, Config)> {
-        let (Update::Listing { rows, .. } | Update::Changes { delta: Delta { rows, .. }, .. }) =
-            update;
-        let brought = rows.iter().filter_map(|(name, row)| match &row.body {
+        let brought = update.rows().iter().filter_map(|(name, row)| match &row.body {
             Some(Content::Config(config)) => Some((name, config.as_ref())),
             _ => None,
         });
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -83,7 +83,8 @@
         patience.absence = Error::Expired;
         if ticket.kind == Kind::Idempotent && ticket.attempts_left > 0 {
             let now = shared.now();
-            patience.until = now + (patience.deadline - now).mul_f64(WHOLE_SHARE);
+            let left = patience.deadline.saturating_sub(now);
+            patience.until = now + left.mul_f64(WHOLE_SHARE);
             patience.absence = Error::Silent;
         }
         Ok(patience)
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -37,6 +37,7 @@
     current: Rc<Cell<usize>>,
     timeout: Duration,
     era_header: Option<&'static str>,
+    body_limit: usize,
 }
 
 struct Call {
@@ -58,7 +59,14 @@
             .disable_redirects()
             .disable_timeout()
             .finish();
-        Client { http, urls: urls.into(), current: Rc::default(), timeout, era_header: None }
+        Client {
+            http,
+            urls: urls.into(),
+            current: Rc::default(),
+            timeout,
+            era_header: None,
+            body_limit: BODY_LIMIT,
+        }
     }
 
     /// The client for a service that numbers its restores in a header.
@@ -66,6 +74,12 @@
         Client { era_header: Some(name), ..self }
     }
 
+    /// The client for a service whose replies have bodies of `bytes` at most.
+    /// A longer one counts as no reply.
+    pub fn with_body_limit(self, bytes: usize) -> Client {
+        Client { body_limit: bytes, ..self }
+    }
+
     /// Reads an object.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, Error> {
         self.read(object_path(kind, name), self.timeout).await?.object()
@@ -218,7 +232,7 @@
         let status = response.status().as_u16();
         let era = self.era_header.and_then(|name| response.headers().get(name));
         let era = era.and_then(|value| Some(value.to_str().ok()?.into()));
-        let body = response.body().limit(BODY_LIMIT).await;
+        let body = response.body().limit(self.body_limit).await;
         let body = body.map_err(|_| Error::Unknown)?;
         Ok(Reply { status, retry_after, era, body })
     }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -18,6 +18,10 @@
 /// answers in a few milliseconds.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Largest body of an answer, in bytes. The store sends pages of about 1 MB; the
+/// answer to a watch may hold the changes of some seconds.
+const BODY_LIMIT: usize = 8 << 20;
+
 /// Objects of a kind as of one position in the store's history.
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
@@ -42,7 +46,9 @@
     /// The store at an address, `HOST:PORT`.
     pub fn new(address: impl std::fmt::Display) -> Store {
         let urls = vec![format!("http://{address}").into()];
-        let client = Client::new(urls, ANSWER_TIMEOUT).with_era_header(store::ERA_HEADER);
+        let client = Client::new(urls, ANSWER_TIMEOUT)
+            .with_era_header(store::ERA_HEADER)
+            .with_body_limit(BODY_LIMIT);
         Store { client, era: Rc::new(watch::Sender::new(0)) }
     }
 
@@ -157,7 +163,11 @@
             return Err(Error::Outdated);
         }
         if self.hear_era(era) {
-            log::warn!(target: "store", era = era, before = known; "era of the store");
+            if known == 0 {
+                log::info!(target: "store", era = era; "era of the store");
+            } else {
+                log::warn!(target: "store", era = era, before = known; "restored from a copy");
+            }
         }
         Ok(era)
     }
