--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -74,16 +74,12 @@
             return None;
         }
         let server = ticket.tried.last()?.clone();
-        if !self.is_spared(now, ticket, &server) || now + WORTH_SENDING >= ticket.deadline {
-            return None;
-        }
-        let target = self.pick(now, ticket).ok()?;
-        let pool = ticket.pool.clone();
-        if !self.budget(now, &pool).spend(now) {
+        if !self.is_spared(now, ticket, &server) {
             return None;
         }
+        let Next::Retry(target) = self.retry(now, ticket) else { return None };
         ticket.may_have_run = true;
-        Some(self.send(now, ticket, target))
+        Some(target)
     }
 
     /// Whether a rank gets no requests because it is slow beside another one
--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -7,6 +7,7 @@
 //! kept as [`crate::hold`] says; a configuration is never given up for one of
 //! a lower version.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -68,8 +69,8 @@
 struct Shelf {
     era: u64,
     rows: Rows,
-    /// Revision of the last complete listing. What was deleted before it is
-    /// not known.
+    /// Revision of the last complete listing, 0 before the first. What was
+    /// deleted before it is not known.
     listed: u64,
 }
 
@@ -84,7 +85,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     shelves: BTreeMap<Kind, Shelf>,
-    known: BTreeSet<Kind>,
     /// A configuration of a higher version than the store's, which was restored.
     lost_config: Option<(Name, Config)>,
     /// Servers whose rows vanished around an outage of the store, with the time
@@ -111,7 +111,7 @@
 
     /// Whether a kind was ever listed.
     pub fn is_known(&self, kind: Kind) -> bool {
-        self.known.contains(&kind)
+        self.shelves.get(&kind).is_some_and(|shelf| shelf.listed > 0)
     }
 
     /// The rows of a kind were the store's at a time.
@@ -131,7 +131,7 @@
         }
     }
 
-    fn holds(&self, now: Duration, subject: &Subject) -> bool {
+    fn is_holding(&self, now: Duration, subject: &Subject) -> bool {
         self.holds.contains(self.as_of(now, subject), subject)
     }
 
@@ -148,35 +148,40 @@
         };
         let version = self.config().map(|config| config.version);
         let lapsed = self.lapsed.len();
-        let config = (kind == Kind::Config).then(|| self.best_config(&update)).flatten();
-        let known = self.position(kind).era;
-        let changed = if era < known {
-            false
-        } else if era > known && self.is_known(kind) {
+        // An update without rows or a listing leaves the configuration as it is.
+        let moves = whole || !update.rows().is_empty();
+        let config = (kind == Kind::Config && moves).then(|| self.best_config(&update)).flatten();
+        let changed = match era.cmp(&self.position(kind).era) {
+            Ordering::Less => false,
             // Changes alone don't tell what the restored store still has.
-            whole && self.restore(now, kind, era, update)
-        } else {
-            self.shelves.entry(kind).or_default().era = era;
-            // Copies of all servers are only needed if some may vanish.
-            let moves = whole || !self.lapsed.is_empty() || !update.rows().is_empty();
-            if kind == Kind::Server && moves {
-                let before = self.listed_servers();
-                let left = self.left(now, &before);
-                let changed = self.take(kind, update);
-                self.note_vanished(now, before, &left);
-                changed
-            } else {
-                self.take(kind, update)
+            Ordering::Greater if self.is_known(kind) => {
+                whole && self.restore(now, kind, era, update)
             }
+            _ => self.advance(now, kind, era, update),
         };
         self.keep_config(config);
-        if era >= known && era == self.position(kind).era {
+        if era == self.position(kind).era {
             self.note_current(kind, now);
         }
         let version_changed = self.config().map(|config| config.version) != version;
         changed || version_changed || self.lapsed.len() != lapsed
     }
 
+    /// Takes in an update of the present era, or of the first one known.
+    fn advance(&mut self, now: Duration, kind: Kind, era: u64, update: Update) -> bool {
+        self.shelves.entry(kind).or_default().era = era;
+        let idle = matches!(&update, Update::Changes { delta, .. } if delta.rows.is_empty());
+        // Without rows no server vanishes, but the time of one that is kept may end.
+        if kind != Kind::Server || (idle && self.lapsed.is_empty()) {
+            return self.take(kind, update);
+        }
+        let before = self.listed_servers();
+        let left = self.lapse_end(now).map_or(BTreeSet::new(), |_| self.left(now, &before));
+        let changed = self.take(kind, update);
+        self.note_vanished(now, before, &left);
+        changed
+    }
+
     /// Takes in an update of the present era.
     fn take(&mut self, kind: Kind, update: Update) -> bool {
         match update {
@@ -200,7 +205,6 @@
         if revision == 0 || revision < self.position(kind).revision {
             return false;
         }
-        self.known.insert(kind);
         self.end_rewritten(kind, &rows);
         let shelf = self.shelves.entry(kind).or_default();
         shelf.listed = revision;
@@ -209,24 +213,30 @@
 
     /// Takes in the rows of a kind of a store that was restored.
     fn restore(&mut self, now: Duration, kind: Kind, era: u64, update: Update) -> bool {
-        let known = self.position(kind);
-        let servers = self.listed_servers();
-        let left = self.left(now, &servers);
-        let zones = self.zones_out(now);
-        self.shelves.insert(kind, Shelf { era, ..Shelf::default() });
-        self.take(kind, update);
         match kind {
             Kind::Server => {
+                let before = self.listed_servers();
+                let left = self.left(now, &before);
+                self.begin_era(kind, era, update);
                 self.note_return(now);
                 self.hold_left(now, &left);
-                self.note_vanished(now, servers, &left);
+                self.note_vanished(now, before, &left);
+            }
+            Kind::Zone => {
+                let (known, before) = (self.position(kind), self.zones_out(now));
+                self.begin_era(kind, era, update);
+                self.hold_zones(now, known, &before);
             }
-            Kind::Zone => self.hold_zones(now, known, &zones),
-            Kind::Config | Kind::Peer | Kind::Agent => {}
+            Kind::Config | Kind::Peer | Kind::Agent => self.begin_era(kind, era, update),
         }
         true
     }
 
+    fn begin_era(&mut self, kind: Kind, era: u64, update: Update) {
+        self.shelves.insert(kind, Shelf { era, ..Shelf::default() });
+        self.take(kind, update);
+    }
+
     /// Ends holds whose rows were written again.
     fn end_rewritten(&mut self, kind: Kind, rows: &[(Name, Row<Content>)]) {
         for (name, row) in rows {
@@ -334,6 +344,12 @@
         }
     }
 
+    /// Until when servers that vanish are kept; nothing if the store has been
+    /// back for long.
+    fn lapse_end(&self, now: Duration) -> Option<Duration> {
+        self.returned_at.map(|at| at + LAPSE_HOLD).filter(|until| now < *until)
+    }
+
     /// Keeps servers that vanished just after an outage, from those that were
     /// listed before and hadn't left.
     fn hold_lapsed(
@@ -344,8 +360,7 @@
         listed: &BTreeMap<Name, Server>,
     ) {
         self.lapsed.retain(|name, (_, until)| !listed.contains_key(name) && now < *until);
-        let until = self.returned_at.map(|at| at + LAPSE_HOLD).filter(|until| now < *until);
-        let Some(until) = until else { return };
+        let Some(until) = self.lapse_end(now) else { return };
         for (name, server) in before {
             let start = Start { server: name.clone(), born: server.born };
             if !listed.contains_key(&name) && !left.contains(&start) {
@@ -413,13 +428,13 @@
 
     /// Whether operators took the zone out.
     pub fn is_zone_out(&self, now: Duration, zone: &Name) -> bool {
-        if self.holds(now, &Subject::ZoneOut(zone.clone())) {
+        if self.is_holding(now, &Subject::ZoneOut(zone.clone())) {
             return true;
         }
         let shelf = self.shelves.get(&Kind::Zone);
         let row = shelf.and_then(|shelf| shelf.rows.row(zone));
         row.is_some_and(|row| row.body.is_some())
-            && !self.holds(now, &Subject::ZoneIn(zone.clone()))
+            && !self.is_holding(now, &Subject::ZoneIn(zone.clone()))
     }
 
     fn listed_zones_out(&self) -> impl Iterator<Item = &Name> {
@@ -441,7 +456,7 @@
     /// Whether a start left or drains although the restored store says
     /// otherwise.
     pub fn is_held(&self, now: Duration, start: &Start) -> bool {
-        self.holds(now, &Subject::Server(start.clone()))
+        self.is_holding(now, &Subject::Server(start.clone()))
     }
 
     /// What the other entries are told of the time before a restore.
--- a/components/gateway/src/patience.rs
+++ b/components/gateway/src/patience.rs
@@ -50,22 +50,11 @@
         ticket: &'a Ticket,
         server: &'a Name,
     ) -> Result<Patience<'a>, Error> {
-        let now = shared.now();
-        let left = time_left(now, ticket)?;
-        let stays = ticket.kind == Kind::Stream { resumable: true };
-        let silence = match ticket.kind {
+        Patience::with_silence(shared, ticket, server, |left| match ticket.kind {
             Kind::Stream { resumable: true } => STREAM_SILENCE,
             Kind::Idempotent => ticket.objective.mul_f64(SILENCE_OBJECTIVES).max(SILENCE_MIN),
             _ => left,
-        };
-        let (wait, absence) = if ticket.attempts_left == 0 || silence >= left {
-            (left, Error::Expired)
-        } else {
-            (silence, Error::Silent)
-        };
-        let (pool, deadline) = (&ticket.pool, ticket.deadline);
-        let until = now + wait;
-        Ok(Patience { shared, pool, server, until, absence, deadline, stays })
+        })
     }
 
     /// The patience with the rest of a whole answer whose head has come.
@@ -78,16 +67,31 @@
         ticket: &'a Ticket,
         server: &'a Name,
     ) -> Result<Patience<'a>, Error> {
-        let mut patience = Patience::new(shared, ticket, server)?;
-        patience.until = patience.deadline;
-        patience.absence = Error::Expired;
-        if ticket.kind == Kind::Idempotent && ticket.attempts_left > 0 {
-            let now = shared.now();
-            let left = patience.deadline.saturating_sub(now);
-            patience.until = now + left.mul_f64(WHOLE_SHARE);
-            patience.absence = Error::Silent;
-        }
-        Ok(patience)
+        Patience::with_silence(shared, ticket, server, |left| match ticket.kind {
+            Kind::Idempotent => left.mul_f64(WHOLE_SHARE),
+            _ => left,
+        })
+    }
+
+    /// The patience that ends after a silence, of the caller's time left, or with
+    /// that time where no other backend server may be tried.
+    fn with_silence(
+        shared: &'a Shared,
+        ticket: &'a Ticket,
+        server: &'a Name,
+        silence: impl Fn(Duration) -> Duration,
+    ) -> Result<Patience<'a>, Error> {
+        let now = shared.now();
+        let left = time_left(now, ticket)?;
+        let silence = silence(left);
+        let (wait, absence) = if ticket.attempts_left == 0 || silence >= left {
+            (left, Error::Expired)
+        } else {
+            (silence, Error::Silent)
+        };
+        let (pool, deadline) = (&ticket.pool, ticket.deadline);
+        let stays = ticket.kind == Kind::Stream { resumable: true };
+        Ok(Patience { shared, pool, server, until: now + wait, absence, deadline, stays })
     }
 
     /// Waits for a sign.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -63,13 +63,15 @@
                 for (address, message) in hear(&shared, frame) {
                     push(&mut link, &address, message);
                 }
-                let era = shared.balancer().era();
-                if store.hear_era(era) {
-                    log::warn!(target: "store", era = era; "another entry knows of a restore");
-                }
             }
         }
-        let position = shared.balancer().position(Kind::Config);
+        let (era, position) = {
+            let balancer = shared.balancer();
+            (balancer.era(), balancer.position(Kind::Config))
+        };
+        if store.hear_era(era) {
+            log::warn!(target: "store", era = era; "another entry knows of a restore");
+        }
         link.flush(position.revision);
     }
 }
--- a/components/rank/src/run.rs
+++ b/components/rank/src/run.rs
@@ -146,57 +146,53 @@
 
 /// The links of the entries, for a leader that has something to tell them.
 async fn entries(store: &Store) -> Option<Vec<Name>> {
-    match store.list_stale(Kind::Peer).await {
-        Ok(listed) => {
-            let bodies = listed.page.rows.into_iter().filter_map(|(_, row)| row.body);
-            let links = bodies.filter_map(|content| match content {
-                Content::Peer(peer) => Some(peer.link),
-                _ => None,
-            });
-            Some(links.collect())
-        }
-        Err(error) => {
-            log::info!(target: "store", error:% = error; "entries not listed");
-            None
-        }
-    }
+    let (_, rows) = list(store, Kind::Peer, "entries not listed").await?;
+    let links = rows.into_iter().filter_map(|(_, content)| match content {
+        Content::Peer(peer) => Some(peer.link),
+        _ => None,
+    });
+    Some(links.collect())
 }
 
 /// The agents that the store names, and the store's era.
 async fn agents(store: &Store) -> Option<(u64, Vec<(Name, Described)>)> {
-    match store.list_stale(Kind::Agent).await {
+    let (era, rows) = list(store, Kind::Agent, "agents not listed").await?;
+    let agents = rows.into_iter().filter_map(|(name, content)| match content {
+        Content::Agent(agent) => Some((name, agent)),
+        _ => None,
+    });
+    Some((era, agents.collect()))
+}
+
+/// What the configuration says of the model that the pool serves.
+async fn model(store: &Store, pool: &Name) -> Option<Model> {
+    let (_, rows) = list(store, Kind::Config, "configuration not read").await?;
+    rows.into_iter().find_map(|(_, content)| match content {
+        Content::Config(config) => served_model(&config, pool),
+        _ => None,
+    })
+}
+
+/// The objects of a kind, of data that may be seconds old, and the store's era.
+/// Nothing, and a line in the log, if they can't be had.
+async fn list(
+    store: &Store,
+    kind: Kind,
+    failure: &'static str,
+) -> Option<(u64, Vec<(Name, Content)>)> {
+    match store.list_stale(kind).await {
         Ok(listed) => {
             let rows = listed.page.rows.into_iter();
-            let agents = rows.filter_map(|(name, row)| match row.body? {
-                Content::Agent(agent) => Some((name, agent)),
-                _ => None,
-            });
-            Some((listed.position.era, agents.collect()))
+            let rows = rows.filter_map(|(name, row)| Some((name, row.body?)));
+            Some((listed.position.era, rows.collect()))
         }
         Err(error) => {
-            log::info!(target: "store", error:% = error; "agents not listed");
+            log::info!(target: "store", error:% = error; "{failure}");
             None
         }
     }
 }
 
-/// What the configuration says of the model that the pool serves.
-async fn model(store: &Store, pool: &Name) -> Option<Model> {
-    let listed = match store.list_stale(Kind::Config).await {
-        Ok(listed) => listed,
-        Err(error) => {
-            log::info!(target: "store", error:% = error; "configuration not read");
-            return None;
-        }
-    };
-    let bodies = listed.page.rows.into_iter().filter_map(|(_, row)| row.body);
-    let configs = bodies.filter_map(|content| match content {
-        Content::Config(config) => Some(config),
-        _ => None,
-    });
-    configs.into_iter().find_map(|config| served_model(&config, pool))
-}
-
 /// The model as far as maps are concerned. Figures that the configuration
 /// lacks are taken to be such that maps change seldom.
 fn served_model(config: &Config, pool: &Name) -> Option<Model> {
