Entries log the parts of prompts and whether a failed attempt had begun

An on-call engineer could not tell which requests had been running at a backend server when it crashed, nor what they shared. 'dispatched' now names the prompt's parts and 'attempt failed' says whether the attempt had sent an event. No decision changes.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -162,7 +162,8 @@
         let config = self.shared().balancer().config().map_or(0, |config| config.version);
         log::info!(target: "request", id:% = self.request.id, route:% = self.ticket.route,
             server:% = self.target.server, open = self.target.open, cold = self.target.cold,
-            attempt = self.ticket.tried.len(), config = config; "dispatched");
+            attempt = self.ticket.tried.len(), config = config,
+            prompt:% = self.request.prompt_label(); "dispatched");
     }
 
     /// Tries backend servers until one answers or the request is refused.
@@ -213,7 +214,7 @@
 
     /// Ends a failed attempt and starts the next one, or returns the refusal.
     fn fail_over(&mut self, error: Error) -> Result<(), Refusal> {
-        self.attempt = None;
+        let begun = self.attempt.take().is_some_and(|attempt| attempt.first_event_recorded);
         self.source = None;
         if matches!(error, Error::Oversized { .. } | Error::Unreadable) {
             self.shared().meter.unusable_answers.add(1);
@@ -221,7 +222,7 @@
         let now = self.shared().now();
         let decision = self.context.shared.balancer().fail(now, &mut self.ticket, error.outcome());
         log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
-            error:% = error, may_have_run = self.ticket.may_have_run,
+            error:% = error, begun = begun, may_have_run = self.ticket.may_have_run,
             next = matches!(decision, Decision::Retry(_)); "attempt failed");
         match decision {
             Decision::Retry(target) => {
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -42,6 +42,8 @@
     pub caller_timeout: Option<Duration>,
     /// Prompt length in tokens.
     pub prompt_tokens: u32,
+    /// Ids of the prompt's parts, in their order.
+    pub prompt_parts: Vec<u64>,
     /// Id of the last event that the caller has already received.
     pub last_event: Option<u64>,
     /// Headers to forward.
@@ -77,11 +79,18 @@
             caller_timeout: fields.caller_timeout,
             prompt_tokens: fields.prompt_tokens,
             last_event: fields.last_event,
+            prompt_parts: fields.prompt_parts,
             headers: forwarded_headers(request)?,
             body: Bytes::new(),
         })
     }
 
+    /// Ids of the prompt's parts for the log, in hexadecimal.
+    pub fn prompt_label(&self) -> String {
+        let ids = self.prompt_parts.iter().map(|part| format!("{part:x}"));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Hash of key, target and body, to recognize repetitions of a request.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
