A stream that had produced events isn't blamed for the crash that cuts it

Callers of sound streams could be refused for a minute, with 'the request crashed several backend servers', after crashes that other requests caused.

Cause: each broken connection counted as a crash of its request, also that of a stream in the middle of its events.

A request that crashes servers does so before its first event, so an attempt that has produced one is no evidence. Before the change the test fails: after three cuts the same request is refused. Requests that crash servers before their first event are counted as before (test admit_refuses_request_that_crashed_three_servers).

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -262,6 +262,7 @@
             tried: Vec::new(),
             may_have_run: false,
             begun: false,
+            producing: false,
             prompt_tokens: submission.prompt_tokens,
             fingerprint: submission.fingerprint,
         };
@@ -355,6 +356,7 @@
     fn begin_attempt(&mut self, now: Duration, ticket: &mut Ticket, server: Name) -> Target {
         ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
         ticket.tried.push(server.clone());
+        ticket.producing = false;
         let member = self.members.get_mut(&server).expect("chosen from the members");
         let cold = member.is_cold(now);
         if cold {
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -120,14 +120,22 @@
             Outcome::ConnectFailed | Outcome::Failed | Outcome::TimedOut => {
                 member.record_failure(now)
             }
-            Outcome::StaleConnection => self.crashes.add(now, ticket.fingerprint),
+            Outcome::StaleConnection => self.count_crash(now, ticket),
             Outcome::Broken => {
                 member.record_failure(now);
-                self.crashes.add(now, ticket.fingerprint);
+                self.count_crash(now, ticket);
             }
         }
     }
 
+    /// Counts a crash of the request, unless the attempt had produced an event: a
+    /// request that crashes servers does so before.
+    fn count_crash(&mut self, now: Duration, ticket: &Ticket) {
+        if !ticket.producing {
+            self.crashes.add(now, ticket.fingerprint);
+        }
+    }
+
     /// The final response for a ticket. Only a request that certainly has not run
     /// gets status 503, which says so, and a `Retry-After` time.
     pub(super) fn refuse(&mut self, now: Duration, ticket: &Ticket, reason: Reason) -> Refusal {
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -53,6 +53,8 @@
     pub may_have_run: bool,
     /// Whether the caller has received a part of the response.
     pub begun: bool,
+    /// Whether the current attempt has produced an event.
+    pub producing: bool,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
     /// Hash of account key, path and body.
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -237,6 +237,21 @@
     assert!(balancer.admit(ms(2002), &other).is_ok());
 }
 
+/// Other requests crash servers three times while a stream runs there. The stream
+/// produced events each time, so it isn't refused.
+#[test]
+fn fail_cut_of_producing_stream_is_no_crash() {
+    let servers = [1, 2, 3, 4].map(|port| (format!("m{port}"), server("models", "a", port)));
+    let named = servers.each_ref().map(|(name, server)| (name.as_str(), server.clone()));
+    let mut balancer = ready(&named);
+    for at in [2000, 4000, 6000] {
+        let (mut ticket, _) = sent(&mut balancer, ms(at), "/stream/notes");
+        ticket.producing = true;
+        balancer.fail(ms(at + 1), &mut ticket, Outcome::Broken);
+    }
+    assert!(balancer.admit(ms(6002), &submission("/stream/notes")).is_ok());
+}
+
 #[test]
 fn apply_listing_out_of_order_changes_nothing() {
     let mut balancer = with_services(1);
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -95,6 +95,7 @@
                     gap_ms = gap.as_millis() as u64; "limit of open requests changed");
             }
         }
+        self.ticket.producing = true;
         if !self.ticket.begun {
             self.ticket.begun = true;
             let age = now - self.ticket.arrived;
