Prompt parts that crash backend servers are recognized and blocked

Each request with the part crashed a server, and with it the rank group for four seconds, five or six times in 22 s.

Cause: the entries identified what crashes servers by a hash of key, path and body. Requests that share only a part of their prompts never had the same hash, so nothing was ever recognized. Class: evidence kept under an identity that is narrower than the cause.

Ruled out: entries carrying one request from server to server (no id at two crashes there, though it does where servers stand alone), and wrong counts as the cause of refusals (no refusal for crashes).

Fix: when a server crashes, the shared parts of the requests that had produced no event there are suspected. A first event of any request clears its parts; until then one request at a time is a trial. A part that none was ever answered with is blocked after two crashes that have no other explanation, or three; one that was, after five. Parts that can't be told apart block only requests with all of them. Blocks end after two minutes, doubled each time, in one trial. A crash is told from a reset or a cut by a connection attempt that is refused, or by the server's next start.

Why it works: the part crashes each server that begins to answer it, so it has no first event, while the parts beside it get one as soon as a sound request runs.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -15,7 +15,7 @@
 use crate::budget::Budget;
 use crate::choice::{self, Context};
 use crate::config::{Config, Unmatched};
-use crate::content::Kind;
+use crate::content::{Kind, Server};
 use crate::crash::Register;
 use crate::gossip::Work;
 use crate::hold;
@@ -23,7 +23,8 @@
 use crate::notice::{Notices, Start};
 use crate::pace::Pace;
 use crate::slow;
-use crate::ticket::{Reason, Refusal, Submission, Target, Ticket};
+use crate::suspect::{self, Scope, Standing};
+use crate::ticket::{Prompt, Reason, Refusal, Submission, Target, Ticket};
 use crate::view::{Update, View};
 
 /// Share of the platform's retry budget that is used. The rest covers the time
@@ -116,6 +117,7 @@
     neighbours: BTreeMap<Name, Neighbour>,
     lags: BTreeMap<Kind, Lag>,
     crashes: Register,
+    suspects: suspect::Register,
     notices: Notices,
     slow: slow::Register,
     rng: ChaCha8Rng,
@@ -138,6 +140,7 @@
             neighbours: BTreeMap::new(),
             lags: BTreeMap::new(),
             crashes: Register::default(),
+            suspects: suspect::Register::default(),
             notices: Notices::default(),
             slow: slow::Register::default(),
             last_store_reply: None,
@@ -217,6 +220,12 @@
 
     fn refresh_members(&mut self, now: Duration) {
         let servers = self.view.servers(now);
+        for start in self.suspects.unconfirmed() {
+            let has_ended = |server: &Server| server.started_ms > start.started_ms;
+            if servers.get(&start.server).is_none_or(has_ended) {
+                self.suspects.confirm(now, &start);
+            }
+        }
         self.members.retain(|name, member| servers.contains_key(name) || member.own.open > 0);
         for (name, member) in &mut self.members {
             if !servers.contains_key(name) {
@@ -262,14 +271,21 @@
             tried: Vec::new(),
             may_have_run: false,
             begun: false,
-            producing: false,
-            prompt_tokens: submission.prompt_tokens,
-            fingerprint: submission.fingerprint,
+            start: None,
+            prompt: Prompt {
+                tokens: submission.prompt_tokens,
+                fingerprint: submission.fingerprint,
+                shared_parts: submission.shared_parts.into(),
+            },
         };
         ticket.pool = self.draw_pool(&shares);
         if self.crashes.is_blocked(now, submission.fingerprint) {
             return Err(self.refuse_not_run(Reason::Crashes, Some(time_limit)));
         }
+        if let Standing::Blocked(wait) = self.standing(now, &ticket) {
+            let refusal = self.refuse_not_run(Reason::Crashes, None);
+            return Err(Refusal { retry_after: Some(wait), ..refusal });
+        }
         self.budget(now, &ticket.pool).earn(now);
         if ticket.kind.is_stream() {
             self.paces.entry(ticket.pool.clone()).or_default().set_accepted_gap(ticket.gap);
@@ -305,7 +321,28 @@
         }
     }
 
+    fn standing(&self, now: Duration, ticket: &Ticket) -> Standing {
+        self.suspects.standing(now, &ticket.prompt)
+    }
+
+    /// Whether an attempt would be a trial of a suspected prompt part.
+    ///
+    /// # Errors
+    ///
+    /// If a part is blocked, or another trial of it runs.
+    fn needs_trial(&self, now: Duration, ticket: &Ticket) -> Result<bool, Reason> {
+        match self.standing(now, ticket) {
+            Standing::Clear => Ok(false),
+            Standing::Suspected if self.suspects.is_tried(now, &ticket.prompt) => {
+                Err(Reason::Suspected)
+            }
+            Standing::Suspected => Ok(true),
+            Standing::Blocked(_) => Err(Reason::Crashes),
+        }
+    }
+
     fn pick(&mut self, now: Duration, ticket: &Ticket) -> Result<Name, Reason> {
+        let is_trial = self.needs_trial(now, ticket)?;
         let entries = self.entries(now);
         let pool = self.view.config().and_then(|config| config.pools.get(&ticket.pool));
         let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
@@ -341,7 +378,16 @@
             !choice::is_full(now, &self.members[*name], context)
                 && !slow::is_too_slow(slowness(name), fastest)
         };
-        let open: Vec<&Name> = candidates.iter().filter(has_capacity).collect();
+        let mut open: Vec<&Name> = candidates.iter().filter(has_capacity).collect();
+        // If a trial crashes its server, the fewer other requests wait for their
+        // first event there, the fewer are suspected.
+        let is_shared = |name: &Name| {
+            let waits = || self.members[name].work(now).tokens > 0;
+            self.suspects.has_trial(now, name) || (is_trial && waits())
+        };
+        if !open.iter().all(|name| is_shared(name)) {
+            open.retain(|name| !is_shared(name));
+        }
         let scored = open.into_iter().map(|name| (name, &self.members[name]));
         match choice::least_loaded(now, scored, context, &mut self.rng) {
             Some(server) => Ok(server),
@@ -356,14 +402,18 @@
     fn begin_attempt(&mut self, now: Duration, ticket: &mut Ticket, server: Name) -> Target {
         ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
         ticket.tried.push(server.clone());
-        ticket.producing = false;
+        let trial = self.standing(now, ticket) != Standing::Clear;
+        if trial {
+            self.suspects.begin_trial(&ticket.prompt, &server);
+        }
         let member = self.members.get_mut(&server).expect("chosen from the members");
         let cold = member.is_cold(now);
         if cold {
             member.bucket.take();
         }
+        ticket.start = Some(member.start(&server));
         let open = member.work(now).open;
-        let work = Work { open: 1, tokens: ticket.prompt_tokens };
+        let work = Work { open: 1, tokens: ticket.prompt.tokens };
         member.own = member.own.plus(work);
         Target {
             address: member.server.address,
@@ -371,6 +421,7 @@
             server,
             open,
             cold,
+            trial,
         }
     }
 
@@ -387,11 +438,25 @@
         self.notices.back_off(now, start, wait)
     }
 
-    /// Records the first event, or the whole response, of an attempt.
-    pub fn record_first_event(&mut self, server: &str, prompt_tokens: u32) {
+    /// Records the first event, or the whole response, of an attempt. Returns the
+    /// suspected prompt parts that it clears.
+    pub fn record_first_event(&mut self, now: Duration, server: &str, prompt: &Prompt) -> Vec<u64> {
+        self.end_wait(server, prompt);
+        self.suspects.record_sound(now, &prompt.shared_parts)
+    }
+
+    /// Whether the crash of a server with suspected prompts is known.
+    pub fn knows_crash(&self, start: &Start) -> bool {
+        self.suspects.contains(start)
+    }
+
+    /// Records that an attempt no longer waits for its first event, because it got
+    /// one or has ended.
+    pub fn end_wait(&mut self, server: &str, prompt: &Prompt) {
         if let Some(member) = self.members.get_mut(server) {
-            member.own.tokens = member.own.tokens.saturating_sub(prompt_tokens);
+            member.own.tokens = member.own.tokens.saturating_sub(prompt.tokens);
         }
+        self.suspects.end_trial(prompt.fingerprint);
     }
 
     /// Records an event of a stream that came `gap` after the previous one.
@@ -438,6 +503,7 @@
         }
         self.neighbours.retain(|_, other| now < other.last_seen + PEER_LIFETIME * 4);
         self.slow.sweep(now);
+        self.suspects.sweep(now);
         self.view.sweep(now);
         let members = &self.members;
         self.notices.sweep(now, |start| members.contains_key(&start.server));
@@ -465,6 +531,7 @@
             "positions": positions,
             "zones_out": self.view.zones_out(now),
             "holds": self.view.hold_reports(now),
+            "suspects": self.suspects.report(now, Scope::All),
             "pools": pools,
             "members": members,
         })
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -9,6 +9,7 @@
 use crate::content::{Kind, Peer};
 use crate::gossip::{Heartbeat, Message, Work};
 use crate::slow::Slowness;
+use crate::suspect::Scope;
 use crate::view::Update;
 
 /// Lag behind another entry after which changes are pulled from it. Until then,
@@ -106,6 +107,7 @@
             member.apply_load(now, from.clone(), loads.get(name).copied());
         }
         self.crashes.apply_counts(now, from, &heartbeat.crashes);
+        self.suspects.apply_report(now, from, heartbeat.suspects);
         for start in heartbeat.departing {
             self.notices.leave(now, start);
         }
@@ -186,6 +188,7 @@
             holds: self.view.hold_reports(now),
             load,
             crashes: self.crashes.report(),
+            suspects: self.suspects.report(now, Scope::Due),
             departing: self.notices.leaving_starts(),
             store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
             leaving: self.leaving,
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -30,7 +30,7 @@
         if let Some(member) = ticket.tried.last().and_then(|name| self.members.get_mut(name)) {
             member.record_success();
         }
-        self.crashes.clear(ticket.fingerprint);
+        self.crashes.clear(ticket.prompt.fingerprint);
     }
 
     /// Records that the last attempt failed and decides what to do next.
@@ -101,9 +101,12 @@
         if ticket.may_have_run && !ticket.kind.is_repeatable() {
             return Some(Reason::MayHaveRun);
         }
-        if self.crashes.is_blocked(now, ticket.fingerprint) {
+        if self.crashes.is_blocked(now, ticket.prompt.fingerprint) {
             return Some(Reason::Crashes);
         }
+        if self.suspects.is_sole(ticket.start.as_ref(), &ticket.prompt) {
+            return Some(Reason::Suspected);
+        }
         (ticket.attempts_left == 0).then_some(Reason::Attempts)
     }
 
@@ -120,19 +123,31 @@
             Outcome::ConnectFailed | Outcome::Failed | Outcome::TimedOut => {
                 member.record_failure(now)
             }
-            Outcome::StaleConnection => self.count_crash(now, ticket),
+            Outcome::StaleConnection => self.count_crash(now, ticket, outcome),
             Outcome::Broken => {
                 member.record_failure(now);
-                self.count_crash(now, ticket);
+                self.count_crash(now, ticket, outcome);
+            }
+            Outcome::Crashed => {
+                member.record_crash(now);
+                self.count_crash(now, ticket, outcome);
             }
         }
     }
 
-    /// Counts a crash of the request, unless the attempt had produced an event: a
+    /// Counts a crash of the request, unless it had produced an event: a
     /// request that crashes servers does so before.
-    fn count_crash(&mut self, now: Duration, ticket: &Ticket) {
-        if !ticket.producing {
-            self.crashes.add(now, ticket.fingerprint);
+    fn count_crash(&mut self, now: Duration, ticket: &Ticket, outcome: Outcome) {
+        if ticket.begun {
+            return;
+        }
+        let prompt = &ticket.prompt;
+        self.crashes.add(now, prompt.fingerprint);
+        let Some(start) = ticket.start.clone() else { return };
+        if outcome == Outcome::Crashed {
+            self.suspects.record_crash(now, start, prompt);
+        } else {
+            self.suspects.record_break(now, start, prompt);
         }
     }
 
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::hold;
 use crate::notice::Start;
 use crate::slow::Slowness;
+use crate::suspect;
 use crate::view::Delta;
 
 /// A message between entries.
@@ -39,6 +40,8 @@
     /// Fingerprints of requests that crashed backend servers, with the number
     /// of crashes that the entry observed.
     pub crashes: Vec<(u64, u32)>,
+    /// Prompt parts that may crash backend servers.
+    pub suspects: suspect::Report,
     /// Backend servers that announced their shutdown.
     pub departing: Vec<Start>,
     /// Time since the store last answered the entry, in milliseconds; `None` if
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -18,9 +18,10 @@
 pub mod notice;
 pub mod pace;
 pub mod slow;
+pub mod suspect;
 pub mod ticket;
 pub mod view;
 
 pub use balancer::{Balancer, Limits, Options};
-pub use ticket::{Decision, Outcome, Reason, Refusal, Submission, Target, Ticket};
+pub use ticket::{Decision, Outcome, Prompt, Reason, Refusal, Submission, Target, Ticket};
 pub use view::{Update, View};
--- a/components/balance/src/member.rs
+++ b/components/balance/src/member.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// Records that the server crashed. It is paused until it has had the time to
+    /// restart, or until its description shows a new start.
+    pub fn record_crash(&mut self, now: Duration) {
+        self.record_failure(now);
+        self.paused_until = now + PAUSE_MAX;
+    }
+
     /// Records that another server answers at this server's address. It gets no
     /// requests until its description changes.
     pub fn record_misdirected(&mut self) {
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -1,6 +1,7 @@
 //! Tickets of admitted requests, and the outcomes and decisions of attempts.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -24,6 +25,8 @@
     pub prompt_tokens: u32,
     /// Hash of account key, path and body.
     pub fingerprint: u64,
+    /// Ids of the prompt's parts that other requests may share.
+    pub shared_parts: &'a [u64],
 }
 
 /// An admitted request.
@@ -53,12 +56,21 @@
     pub may_have_run: bool,
     /// Whether the caller has received a part of the response.
     pub begun: bool,
-    /// Whether the current attempt has produced an event.
-    pub producing: bool,
-    /// Number of prompt tokens.
-    pub prompt_tokens: u32,
+    /// The start of the backend server of the current attempt.
+    pub start: Option<Start>,
+    /// The prompt.
+    pub prompt: Prompt,
+}
+
+/// The prompt of a request, or the body of a request to a plain service.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// Number of tokens; 0 without a prompt.
+    pub tokens: u32,
     /// Hash of account key, path and body.
     pub fingerprint: u64,
+    /// Ids of the parts that other requests may share.
+    pub shared_parts: Arc<[u64]>,
 }
 
 /// The backend server chosen for an attempt.
@@ -74,6 +86,8 @@
     pub open: u32,
     /// Whether the server is cold.
     pub cold: bool,
+    /// Whether the attempt is a trial of a suspected prompt part.
+    pub trial: bool,
 }
 
 impl Target {
@@ -96,6 +110,8 @@
     Misdirected,
     /// The connection broke, or the response was invalid.
     Broken,
+    /// The connection broke, and the server accepts no others: it crashed.
+    Crashed,
     /// A reused idle connection was closed when the request was sent.
     #[serde(rename = "stale")]
     StaleConnection,
@@ -144,9 +160,12 @@
     #[error("the time for the request is over")]
     #[serde(rename = "expired")]
     DeadlineExceeded,
-    /// The request has reached the crash limit.
+    /// The request, or a part of its prompt, has reached the crash limit.
     #[error("the request crashed several backend servers")]
     Crashes,
+    /// A part of the prompt may have crashed a backend server.
+    #[error("a part of the prompt may have crashed a backend server and is being tried")]
+    Suspected,
 }
 
 /// The final response to a request that no backend server answered.
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -129,6 +129,7 @@
         caller_timeout: Some(ms(4000)),
         prompt_tokens: 100,
         fingerprint: 1,
+        shared_parts: &[],
     }
 }
 
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -147,7 +147,7 @@
         let mut ticket = balancer.admit(now, &submission("/stream/notes")).unwrap();
         if let Ok(target) = balancer.choose(now, &mut ticket) {
             assert!(target.cold);
-            balancer.record_first_event(&target.server, 100);
+            balancer.record_first_event(ms(2000), &target.server, &ticket.prompt);
             balancer.release(&target.server);
             taken += 1;
         }
@@ -246,7 +246,7 @@
     let mut balancer = ready(&named);
     for at in [2000, 4000, 6000] {
         let (mut ticket, _) = sent(&mut balancer, ms(at), "/stream/notes");
-        ticket.producing = true;
+        ticket.begun = true;
         balancer.fail(ms(at + 1), &mut ticket, Outcome::Broken);
     }
     assert!(balancer.admit(ms(6002), &submission("/stream/notes")).is_ok());
--- /dev/null
+++ b/components/balance/tests/suspect.rs
@@ -0,0 +1,230 @@
+//! Recognition of prompt parts that crash backend servers.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use balance::notice::Start;
+use balance::suspect::{Register, Scope, Standing};
+use balance::{Decision, Outcome, Prompt, Reason, Submission};
+use common::{ms, ready, server, submission};
+use rstest::rstest;
+
+/// A part of the prompts of several requests that crash servers.
+const CRASHING: u64 = 0xbad;
+
+/// A part that crashing and sound requests share.
+const SHARED: u64 = 0x5a;
+
+fn start(server: &str) -> Start {
+    Start { server: server.into(), started_ms: 1 }
+}
+
+fn prompt(fingerprint: u64, parts: &[u64]) -> Prompt {
+    Prompt { tokens: 100, fingerprint, shared_parts: parts.into() }
+}
+
+fn is_blocked(register: &Register, now: Duration, parts: &[u64]) -> bool {
+    matches!(register.standing(now, &prompt(99, parts)), Standing::Blocked(_))
+}
+
+/// Two requests with the part crash servers. Sound requests share their first part,
+/// and are served in between.
+#[test]
+fn standing_part_of_two_crashes() {
+    let mut register = Register::default();
+    register.record_crash(ms(1000), start("a"), &prompt(1, &[SHARED, CRASHING]));
+    assert_eq!(register.standing(ms(1001), &prompt(2, &[SHARED])), Standing::Suspected);
+    assert_eq!(register.record_sound(ms(2000), &[SHARED]), [SHARED]);
+    register.record_crash(ms(3000), start("b"), &prompt(3, &[SHARED, CRASHING]));
+    assert!(is_blocked(&register, ms(3001), &[SHARED, CRASHING]));
+    assert!(is_blocked(&register, ms(3001), &[7, CRASHING]));
+    assert_eq!(register.standing(ms(3001), &prompt(4, &[SHARED, 7])), Standing::Clear);
+}
+
+/// Both parts are in both crashes and neither was ever answered: requests with one
+/// of them alone are tried, not refused, and the result tells the parts apart.
+#[rstest]
+#[case::sound_alone(false)]
+#[case::crashing_alone(true)]
+fn standing_parts_with_the_same_evidence(#[case] crashing_first: bool) {
+    let mut register = Register::default();
+    for (at, name) in [(1000, "a"), (3000, "b")] {
+        register.record_crash(ms(at), start(name), &prompt(at, &[SHARED, CRASHING]));
+    }
+    assert!(is_blocked(&register, ms(3001), &[SHARED, CRASHING]));
+    for part in [SHARED, CRASHING] {
+        assert_eq!(register.standing(ms(3001), &prompt(5, &[part])), Standing::Suspected);
+    }
+    if crashing_first {
+        register.record_crash(ms(5000), start("c"), &prompt(6, &[CRASHING]));
+    } else {
+        register.record_sound(ms(5000), &[SHARED]);
+    }
+    assert!(is_blocked(&register, ms(5001), &[CRASHING]));
+    assert!(!is_blocked(&register, ms(5001), &[SHARED]));
+}
+
+/// Servers crash for another reason while sound requests wait there. Each part is
+/// answered before the next crash.
+#[test]
+fn standing_sound_part_of_many_crashes() {
+    let mut register = Register::default();
+    for round in 1..10 {
+        let at = ms(round * 1000);
+        register.record_crash(at, start(&format!("s{round}")), &prompt(round, &[SHARED]));
+        assert_eq!(register.standing(at, &prompt(50, &[SHARED])), Standing::Suspected);
+        register.record_sound(at + ms(400), &[SHARED]);
+        assert_eq!(register.standing(at + ms(401), &prompt(50, &[SHARED])), Standing::Clear);
+    }
+}
+
+/// Several servers fail at once while requests with the same new part wait there.
+#[test]
+fn standing_servers_that_crash_together() {
+    let mut register = Register::default();
+    for index in 0..5 {
+        let name = format!("s{index}");
+        register.record_crash(ms(1000 + index * 20), start(&name), &prompt(index, &[SHARED]));
+    }
+    assert_eq!(register.standing(ms(1200), &prompt(50, &[SHARED])), Standing::Suspected);
+}
+
+/// One request crashes servers, whatever its prompt: it is blocked, and others with
+/// the same part are not.
+#[test]
+fn standing_request_that_crashes_servers() {
+    let mut register = Register::default();
+    for (at, name) in [(1000, "a"), (3000, "b"), (5000, "c")] {
+        register.record_crash(ms(at), start(name), &prompt(1, &[SHARED]));
+    }
+    assert!(matches!(register.standing(ms(5001), &prompt(1, &[SHARED])), Standing::Blocked(_)));
+    assert_eq!(register.standing(ms(5001), &prompt(2, &[SHARED])), Standing::Suspected);
+}
+
+/// A blocked part is tried again after a time that doubles with each crash.
+#[test]
+fn standing_after_the_block() {
+    let mut register = Register::default();
+    let (mut now, mut blocks) = (ms(1000), Vec::new());
+    for round in 0..5 {
+        let name = format!("s{round}");
+        register.record_crash(now, start(&name), &prompt(round, &[CRASHING]));
+        let standing = register.standing(now, &prompt(50, &[CRASHING]));
+        let Standing::Blocked(block) = standing else {
+            now += ms(5000);
+            continue;
+        };
+        blocks.push(block);
+        now += block;
+        assert_eq!(register.standing(now, &prompt(50, &[CRASHING])), Standing::Suspected);
+    }
+    assert_eq!(blocks.len(), 4);
+    assert!(blocks.windows(2).all(|pair| pair[1] == pair[0] * 2), "{blocks:?}");
+}
+
+/// A crash that isn't certain, such as a reset of the connection, counts only once
+/// the server has started again.
+#[test]
+fn confirm_crash_by_a_new_start() {
+    let mut register = Register::default();
+    register.record_break(ms(1000), start("a"), &prompt(1, &[CRASHING]));
+    assert_eq!(register.standing(ms(1001), &prompt(2, &[CRASHING])), Standing::Clear);
+    register.confirm(ms(4000), &start("a"));
+    assert_eq!(register.standing(ms(4001), &prompt(2, &[CRASHING])), Standing::Suspected);
+    register.record_sound(ms(4100), &[CRASHING]);
+    assert_eq!(register.standing(ms(4101), &prompt(2, &[CRASHING])), Standing::Clear);
+}
+
+/// Entries know each other's crashes, cleared parts and trials.
+#[test]
+fn apply_report_of_another_entry() {
+    let (mut one, mut two) = (Register::default(), Register::default());
+    let from = "entry-1".into();
+    one.record_crash(ms(1000), start("a"), &prompt(1, &[SHARED, CRASHING]));
+    two.apply_report(ms(1010), &from, one.report(ms(1010), Scope::Due));
+    assert_eq!(two.standing(ms(1011), &prompt(2, &[SHARED])), Standing::Suspected);
+    one.begin_trial(&prompt(3, &[SHARED]), &"b".into());
+    two.apply_report(ms(1020), &from, one.report(ms(1020), Scope::Due));
+    assert!(two.is_tried(ms(1021), &prompt(4, &[SHARED])));
+    assert!(!two.is_tried(ms(1021), &prompt(5, &[CRASHING])));
+    assert!(two.has_trial(ms(1021), &"b".into()));
+    one.record_sound(ms(1200), &[SHARED]);
+    one.end_trial(3);
+    two.apply_report(ms(1210), &from, one.report(ms(1210), Scope::Due));
+    assert_eq!(two.standing(ms(1211), &prompt(2, &[SHARED])), Standing::Clear);
+    assert_eq!(two.standing(ms(1211), &prompt(2, &[CRASHING])), Standing::Suspected);
+    assert!(!two.is_tried(ms(1211), &prompt(4, &[SHARED])));
+}
+
+/// An entry that starts late gets older crashes within two seconds.
+#[test]
+fn report_older_crashes_to_a_new_entry() {
+    let mut old = Register::default();
+    old.record_crash(ms(1000), start("a"), &prompt(1, &[CRASHING]));
+    let mut new = Register::default();
+    for at in (60_000..62_000).step_by(100).map(ms) {
+        new.apply_report(at, &"entry-1".into(), old.report(at, Scope::Due));
+    }
+    assert_eq!(new.standing(ms(62_000), &prompt(2, &[CRASHING])), Standing::Suspected);
+    assert!(old.report(ms(62_150), Scope::Due).crashes.is_empty());
+}
+
+/// The only request that waited at a crashed server isn't sent to another one. If
+/// others waited there as well, each may go on as a trial.
+#[rstest]
+#[case::alone(1, false)]
+#[case::one_of_two(2, true)]
+fn fail_after_crash(#[case] waiting: u64, #[case] retried: bool) {
+    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
+    let mut balancer = ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())));
+    let mut tickets = Vec::new();
+    for fingerprint in 1..=waiting {
+        let parts = [fingerprint];
+        let submission =
+            Submission { fingerprint, shared_parts: &parts, ..submission("/stream/notes") };
+        let mut ticket = balancer.admit(ms(1000), &submission).unwrap();
+        ticket.tried = vec!["m2".into(), "m3".into()];
+        balancer.choose(ms(1000), &mut ticket).unwrap();
+        ticket.tried = vec!["m1".into()];
+        tickets.push(ticket);
+    }
+    let mut decision = None;
+    for ticket in &mut tickets {
+        balancer.end_wait("m1", &ticket.prompt);
+        balancer.release("m1");
+        decision = Some(balancer.fail(ms(1100), ticket, Outcome::Crashed));
+    }
+    match decision.unwrap() {
+        Decision::Retry(target) => assert!(retried && target.trial),
+        Decision::Stop(refusal) => {
+            assert!(!retried);
+            assert_eq!((refusal.reason, refusal.status), (Reason::Suspected, 502));
+        }
+    }
+}
+
+/// A part is blocked: requests with it are refused at once, with the time of the
+/// next trial, and others are served.
+#[test]
+fn admit_blocked_part() {
+    let mut balancer = ready(&[("m1", server("models", "a", 1)), ("m2", server("models", "a", 2))]);
+    for (at, fingerprint) in [(1000, 1), (8000, 2)] {
+        let with_part =
+            Submission { fingerprint, shared_parts: &[CRASHING], ..submission("/stream/notes") };
+        let mut ticket = balancer.admit(ms(at), &with_part).unwrap();
+        let target = balancer.choose(ms(at), &mut ticket).unwrap();
+        assert_eq!(target.trial, fingerprint == 2);
+        balancer.end_wait(&target.server, &ticket.prompt);
+        balancer.release(&target.server);
+        balancer.fail(ms(at + 100), &mut ticket, Outcome::Crashed);
+    }
+    let with_part =
+        Submission { fingerprint: 3, shared_parts: &[CRASHING], ..submission("/stream/notes") };
+    let refusal = balancer.admit(ms(9000), &with_part).unwrap_err();
+    assert_eq!((refusal.reason, refusal.status), (Reason::Crashes, 503));
+    assert!(refusal.retry_after.unwrap() > ms(60_000));
+    let other = Submission { shared_parts: &[SHARED], ..with_part };
+    assert!(balancer.admit(ms(9000), &other).is_ok());
+}
--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -46,6 +46,9 @@
 /// dead. Below the two seconds after which callers abort a stream without events.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Timeout of [`probe`]. A host that is up answers within milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Idle time after which the kernel probes a connection, and the interval of the
 /// probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -156,6 +159,10 @@
 pub async fn connect(address: SocketAddr) -> Result<Connection, Error> {
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| Error::ConnectFailed)?.map_err(|_| Error::ConnectFailed)?;
+    handshake(address, stream).await
+}
+
+async fn handshake(address: SocketAddr, stream: TcpStream) -> Result<Connection, Error> {
     if let Err(error) = set_options(&stream) {
         log::warn!(target: "backend", address:%, error:%; "socket options could not be set");
     }
@@ -170,6 +177,27 @@
     Ok(Connection { address, sender, driver, socket, idle_limit: IDLE_LIMIT })
 }
 
+/// Result of [`probe`].
+pub enum Probe {
+    /// The port is closed: no process listens.
+    Refused,
+    /// The backend server accepted this connection.
+    Accepted(Connection),
+    /// There was no answer, or the connection failed for another reason.
+    Unanswered,
+}
+
+/// Checks whether a backend server accepts connections.
+pub async fn probe(address: SocketAddr) -> Probe {
+    match actix_rt::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            handshake(address, stream).await.map_or(Probe::Unanswered, Probe::Accepted)
+        }
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        _ => Probe::Unanswered,
+    }
+}
+
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -4,7 +4,7 @@
 
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
-use balance::Refusal;
+use balance::{Refusal, suspect};
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use http::response::Parts;
@@ -41,13 +41,13 @@
             return response_builder(status).force_close().finish();
         }
     }
-    let id = parsed.id.clone();
-    let relay = match Relay::begin(context.clone(), parsed) {
+    let (id, parts) = (parsed.id.clone(), parsed.prompt_parts.clone());
+    let relay = match Relay::begin(context.clone(), parsed).await {
         Ok(relay) => relay,
         Err(refusal) => {
             context.shared.meter.refused.add(1);
             log::info!(target: "request", id:% = id, status = refusal.status,
-                reason:% = refusal.reason,
+                reason:% = refusal.reason, prompt:% = suspect::label(&parts),
                 retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
                 "refused");
             return refusal_response(&id, refusal);
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -20,6 +20,10 @@
     pub disconnected: Counter,
     /// Attempts after the first.
     pub retries: Counter,
+    /// Trials of suspected prompt parts.
+    pub trials: Counter,
+    /// Attempts without an event that ended with a crash of the backend server.
+    pub crashes: Counter,
     /// Streams resumed on another backend server.
     pub resumed: Counter,
     /// Connections opened to backend servers.
@@ -50,6 +54,11 @@
             cut: counter("gateway_cut", "Answers that were broken off"),
             disconnected: counter("gateway_left", "Requests whose caller left"),
             retries: counter("gateway_retries", "Attempts after the first"),
+            trials: counter("gateway_trials", "Trials of suspected prompt parts"),
+            crashes: counter(
+                "gateway_crashes",
+                "Attempts without an event whose backend server crashed",
+            ),
             resumed: counter("gateway_resumed", "Streams resumed on another backend server"),
             connections: counter("gateway_connections", "Connections opened to backend servers"),
             store_failures: counter("gateway_store_failures", "Calls to the store that failed"),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use registry::Store;
 use tables::Name;
 use tokio::sync::mpsc;
+use tokio::time::Interval;
 use wire::{Frame, Link, Sender};
 
 use crate::shared::Shared;
@@ -43,7 +44,7 @@
     let mut previous_links: Vec<Name> = Vec::new();
     loop {
         tokio::select! {
-            _ = heartbeat_timer.tick() => {
+            () = due(&mut heartbeat_timer, &shared) => {
                 let now = shared.now();
                 let mut balancer = shared.balancer();
                 balancer.tick(now);
@@ -76,6 +77,14 @@
     }
 }
 
+/// Waits until a heartbeat is due: after its interval, or when a trial starts.
+async fn due(timer: &mut Interval, shared: &Shared) {
+    tokio::select! {
+        _ = timer.tick() => {}
+        () = shared.trial_started.notified() => {}
+    }
+}
+
 fn push(link: &mut Link, address: &Name, message: Message) {
     if let Err(error) = link.push(address, wire::Message::Entry(message)) {
         log::warn!(target: "peers", address:% = address, error:% = error; "link failed");
@@ -93,6 +102,14 @@
             log::info!(target: "peers", from:% = sender.name, kind:? = kind, era = era,
                 revision = delta.revision, rows = delta.rows.len(); "rows from another entry");
         }
+        if let Message::Heartbeat(heartbeat) = &message {
+            let crashes = heartbeat.suspects.crashes.iter();
+            for crash in crashes.filter(|crash| !balancer.knows_crash(&crash.start)) {
+                log::info!(target: "suspect", from:% = sender.name, server:% = crash.start.server,
+                    born = crash.start.started_ms, age_ms = crash.age_ms,
+                    prompts:% = crash.label(); "crash reported by another entry");
+            }
+        }
         if let Message::Slowness(slowness) = message {
             let (group, epoch) = (slowness.group.clone(), slowness.epoch);
             let ranks = slowness.ranks.clone();
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -8,9 +8,10 @@
 
 use adapter::header;
 use balance::config::Kind;
-use balance::{Decision, Refusal, Target, Ticket};
+use balance::suspect;
+use balance::{Decision, Outcome, Prompt, Reason, Refusal, Target, Ticket};
 use bytes::{Bytes, BytesMut};
-use connection::{Connection, Pool};
+use connection::{Connection, Pool, Probe};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -27,6 +28,13 @@
 /// of the request is unknown.
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time for which a request waits for the trial of a suspected prompt part. A
+/// trial of a sound part ends with its first event.
+const TRIAL_WAIT: Duration = Duration::from_millis(400);
+
+/// Interval between checks whether a trial has ended.
+const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// State that all requests on a thread use.
 pub struct Context {
     /// Shared state of the process.
@@ -57,22 +65,31 @@
 struct Attempt {
     shared: Arc<Shared>,
     server: tables::Name,
-    prompt_tokens: u32,
+    prompt: Prompt,
     first_event_recorded: bool,
 }
 
 impl Attempt {
     fn record_first_event(&mut self) {
         if !std::mem::replace(&mut self.first_event_recorded, true) {
-            self.shared.balancer().record_first_event(&self.server, self.prompt_tokens);
+            let now = self.shared.now();
+            let cleared =
+                self.shared.balancer().record_first_event(now, &self.server, &self.prompt);
+            if !cleared.is_empty() {
+                log::info!(target: "suspect", server:% = self.server,
+                    parts:% = suspect::label(&cleared); "prompt parts cleared by a first event");
+            }
         }
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.record_first_event();
-        self.shared.balancer().release(&self.server);
+        let mut balancer = self.shared.balancer();
+        if !self.first_event_recorded {
+            balancer.end_wait(&self.server, &self.prompt);
+        }
+        balancer.release(&self.server);
     }
 }
 
@@ -112,10 +129,9 @@
     /// # Errors
     ///
     /// The refusal, if the request is not admitted or has no backend server.
-    pub fn begin(context: Rc<Context>, request: Request) -> Result<Relay, Refusal> {
+    pub async fn begin(context: Rc<Context>, request: Request) -> Result<Relay, Refusal> {
         let shared = context.shared.clone();
         let now = shared.now();
-        let mut balancer = shared.balancer();
         let submission = balance::Submission {
             host: &request.host,
             path: request.target.path(),
@@ -123,10 +139,10 @@
             caller_timeout: request.caller_timeout,
             prompt_tokens: request.prompt_tokens,
             fingerprint: request.fingerprint(),
+            shared_parts: request.shared_parts(),
         };
-        let mut ticket = balancer.admit(now, &submission)?;
-        let target = balancer.choose(now, &mut ticket)?;
-        drop(balancer);
+        let mut ticket = shared.balancer().admit(now, &submission)?;
+        let target = choose(&shared, &mut ticket).await?;
         let events = Splitter::new(request.last_event.unwrap_or_default());
         let guard = shared.count_request();
         let reservation = shared.quota.reserve(EVENT_LIMIT);
@@ -156,14 +172,19 @@
         self.attempt = Some(Attempt {
             shared: self.shared().clone(),
             server: self.target.server.clone(),
-            prompt_tokens: self.ticket.prompt_tokens,
+            prompt: self.ticket.prompt.clone(),
             first_event_recorded: false,
         });
+        if self.target.trial {
+            self.shared().meter.trials.add(1);
+            self.shared().trial_started.notify_one();
+        }
         let config = self.shared().balancer().config().map_or(0, |config| config.version);
         log::info!(target: "request", id:% = self.request.id, route:% = self.ticket.route,
             server:% = self.target.server, open = self.target.open, cold = self.target.cold,
             attempt = self.ticket.tried.len(), config = config,
-            prompt:% = self.request.prompt_label(); "dispatched");
+            trial = self.target.trial,
+            prompt:% = suspect::label(&self.request.prompt_parts); "dispatched");
     }
 
     /// Tries backend servers until one answers or the request is refused.
@@ -181,7 +202,7 @@
                 },
                 Err(error) => error,
             };
-            if let Err(refusal) = self.fail_over(error) {
+            if let Err(refusal) = self.fail_over(error).await {
                 self.finish("refused", Some(refusal));
                 return Reply::Refused(refusal);
             }
@@ -213,16 +234,27 @@
     }
 
     /// Ends a failed attempt and starts the next one, or returns the refusal.
-    fn fail_over(&mut self, error: Error) -> Result<(), Refusal> {
+    async fn fail_over(&mut self, error: Error) -> Result<(), Refusal> {
         let begun = self.attempt.take().is_some_and(|attempt| attempt.first_event_recorded);
         self.source = None;
+        let outcome = match error.outcome() {
+            Outcome::Broken | Outcome::StaleConnection
+                if !self.ticket.begun && self.is_crashed().await =>
+            {
+                Outcome::Crashed
+            }
+            outcome => outcome,
+        };
+        if outcome == Outcome::Crashed {
+            self.shared().meter.crashes.add(1);
+        }
         if matches!(error, Error::Oversized { .. } | Error::Unreadable) {
             self.shared().meter.unusable_answers.add(1);
         }
         let now = self.shared().now();
-        let decision = self.context.shared.balancer().fail(now, &mut self.ticket, error.outcome());
+        let decision = self.context.shared.balancer().fail(now, &mut self.ticket, outcome);
         log::info!(target: "request", id:% = self.request.id, server:% = self.target.server,
-            error:% = error, begun = begun, may_have_run = self.ticket.may_have_run,
+            error:% = error, begun = begun, crashed = outcome == Outcome::Crashed, may_have_run = self.ticket.may_have_run,
             next = matches!(decision, Decision::Retry(_)); "attempt failed");
         match decision {
             Decision::Retry(target) => {
@@ -233,6 +265,18 @@
         }
     }
 
+    /// Whether the backend server has crashed: it refuses connections.
+    async fn is_crashed(&self) -> bool {
+        match connection::probe(self.target.address).await {
+            Probe::Refused => true,
+            Probe::Accepted(connection) => {
+                self.context.pool.put(connection);
+                false
+            }
+            Probe::Unanswered => false,
+        }
+    }
+
     fn switch_to(&mut self, target: Target) {
         self.shared().meter.retries.add(1);
         self.target = target;
@@ -341,22 +385,42 @@
         let body = timeout.wait_for(read_body(body, reservation)).await??;
         self.context.pool.put(connection);
         if head.status.is_server_error() && self.ticket.kind.is_repeatable() {
-            return Ok(self.retry_or_forward(Answer { head, body }));
+            return Ok(self.retry_or_forward(Answer { head, body }).await);
+        }
+        if let Some(attempt) = &mut self.attempt
+            && head.status.is_success()
+        {
+            attempt.record_first_event();
         }
         Ok(Disposition::Complete(Answer { head, body }))
     }
 
     /// Retries a server error on another backend server, or forwards it unchanged
     /// if no attempt is left.
-    fn retry_or_forward(&mut self, answer: Answer) -> Disposition {
+    async fn retry_or_forward(&mut self, answer: Answer) -> Disposition {
         let status = answer.head.status.as_u16();
-        match self.fail_over(Error::Failed { status }) {
+        match self.fail_over(Error::Failed { status }).await {
             Ok(()) => Disposition::Retried,
             Err(_) => Disposition::Complete(answer),
         }
     }
 }
 
+/// Chooses the first backend server. A request with a suspected prompt part waits
+/// for the trial of that part.
+async fn choose(shared: &Shared, ticket: &mut Ticket) -> Result<Target, Refusal> {
+    loop {
+        let now = shared.now();
+        let chosen = shared.balancer().choose(now, ticket);
+        match chosen {
+            Err(Refusal { reason: Reason::Suspected, .. }) if now < ticket.arrived + TRIAL_WAIT => {
+                actix_rt::time::sleep(TRIAL_POLL_INTERVAL).await;
+            }
+            chosen => return chosen,
+        }
+    }
+}
+
 /// How a response was processed.
 enum Disposition {
     /// The stream began with this head.
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -95,7 +95,6 @@
                     gap_ms = gap.as_millis() as u64; "limit of open requests changed");
             }
         }
-        self.ticket.producing = true;
         if !self.ticket.begun {
             self.ticket.begun = true;
             let age = now - self.ticket.arrived;
@@ -170,7 +169,7 @@
         let interrupted_at = self.shared().now();
         loop {
             if let Some(error) = error.take()
-                && let Err(refusal) = self.fail_over(error)
+                && let Err(refusal) = self.fail_over(error).await
             {
                 self.wait_for_server(interrupted_at, refusal).await?;
             }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -85,10 +85,9 @@
         })
     }
 
-    /// Ids of the prompt's parts for the log, in hexadecimal.
-    pub fn prompt_label(&self) -> String {
-        let ids = self.prompt_parts.iter().map(|part| format!("{part:x}"));
-        ids.collect::<Vec<_>>().join(",")
+    /// Ids of the prompt's parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[u64] {
+        self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
     /// Hash of key, target and body, to recognize repetitions of a request.
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use balance::Balancer;
+use tokio::sync::Notify;
 
 use crate::meter::Meter;
 use crate::quota::Quota;
@@ -14,6 +15,9 @@
     balancer: Mutex<Balancer>,
     started: Instant,
     open_requests: AtomicUsize,
+    /// Notified when a trial of a prompt part starts. Other entries must learn of it
+    /// before they start another.
+    pub trial_started: Notify,
     /// Metric instruments.
     pub meter: Meter,
     /// Memory quota of buffered responses.
@@ -26,6 +30,7 @@
             balancer: Mutex::new(balancer),
             started: Instant::now(),
             open_requests: AtomicUsize::new(0),
+            trial_started: Notify::new(),
             meter,
             quota,
         }
--- a/components/gateway/tests/restore_world/mod.rs
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -361,6 +361,7 @@
             caller_timeout: None,
             prompt_tokens: 0,
             fingerprint: 1,
+            shared_parts: &[],
         };
         let mut usable = BTreeSet::new();
         let Ok(mut ticket) = balancer.admit(now, &submission) else { return usable };
