A stream that ends with its connection before its first event isn't complete

Cause: the end of the connection was taken for the end of the stream whenever no part of an event was buffered, also before the first event.

Such a stream counts as broken off and is sent to another server, unless the caller had events of it already.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -12,6 +12,7 @@
 use balance::{Decision, Outcome, Prompt, Reason, Refusal, Target, Ticket};
 use bytes::{Bytes, BytesMut};
 use connection::{Connection, Pool, Probe};
+use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -46,7 +47,7 @@
 /// A buffered response of a backend server.
 pub struct Answer {
     /// Status and headers.
-    pub head: http::response::Parts,
+    pub head: Parts,
     /// Complete body.
     pub body: Bytes,
 }
@@ -56,7 +57,7 @@
     /// A complete response.
     Complete(Answer),
     /// A stream whose head has been received.
-    Stream(http::response::Parts, Box<Relay>),
+    Stream(Parts, Box<Relay>),
     /// No backend server answered.
     Refused(Refusal),
 }
@@ -93,6 +94,22 @@
     }
 }
 
+/// An event stream that is being received.
+struct Source {
+    connection: Connection,
+    body: Incoming,
+    /// Whether the end of the connection marks the end of the stream.
+    until_close: bool,
+}
+
+impl Source {
+    fn new(connection: Connection, head: &Parts, body: Incoming) -> Source {
+        let delimiters = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+        let until_close = !delimiters.iter().any(|name| head.headers.contains_key(name));
+        Source { connection, body, until_close }
+    }
+}
+
 /// A request in progress.
 pub struct Relay {
     context: Rc<Context>,
@@ -102,7 +119,7 @@
     // Declared before the connection so that it is dropped first: the count of
     // open requests never lags behind closed connections.
     attempt: Option<Attempt>,
-    source: Option<(Connection, Incoming)>,
+    source: Option<Source>,
     events: Splitter,
     /// Memory reserved for an incomplete event.
     reservation: Reservation,
@@ -376,7 +393,7 @@
         }
         let (head, body) = response.into_parts();
         if self.ticket.kind.is_stream() && head.status.is_success() {
-            self.source = Some((connection, body));
+            self.source = Some(Source::new(connection, &head, body));
             return Ok(Disposition::Stream(head));
         }
         let shared = self.shared().clone();
@@ -424,7 +441,7 @@
 /// How a response was processed.
 enum Disposition {
     /// The stream began with this head.
-    Stream(http::response::Parts),
+    Stream(Parts),
     /// The response is complete.
     Complete(Answer),
     /// Another attempt has started.
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
-use super::Relay;
+use super::{Relay, Source};
 use crate::Error;
 use crate::timeout::Timeout;
 
@@ -40,8 +40,8 @@
                     return Some(Ok(events));
                 }
                 Ok(None) => {
-                    if let Some((connection, _)) = self.source.take() {
-                        self.context.pool.put(connection);
+                    if let Some(source) = self.source.take() {
+                        self.context.pool.put(source.connection);
                     }
                     self.succeed();
                     return None;
@@ -116,14 +116,19 @@
             if !events.is_empty() {
                 return Ok(Some(events));
             }
-            let Some((_, body)) = &mut self.source else { return Err(Error::Broken) };
-            match timeout.wait_for(body.frame()).await? {
+            let Some(source) = &mut self.source else { return Err(Error::Broken) };
+            match timeout.wait_for(source.body.frame()).await? {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.events.push(data);
                     }
                 }
                 Some(Err(_)) => return Err(Error::Broken),
+                // A server that fails before the first event may only close the
+                // connection.
+                None if source.until_close && self.events.last_id() == 0 => {
+                    return Err(Error::Broken);
+                }
                 None if self.events.is_empty() => return Ok(None),
                 None => return Err(Error::Broken),
             }
@@ -176,7 +181,8 @@
             match self.exchange().await {
                 Ok((connection, response)) if response.status().is_success() => {
                     self.shared().meter.resumed.add(1);
-                    self.source = Some((connection, response.into_body()));
+                    let (head, body) = response.into_parts();
+                    self.source = Some(Source::new(connection, &head, body));
                     return Ok(());
                 }
                 Ok((_, response)) => {
