Requests that waited before a crash count as trials of their parts

Cause: only requests sent after a crash were trials. Those that already waited at other servers weren't, so that another trial began beside them.

All attempts that wait for their first event are known now; those with suspected parts are trials, reported to the other entries. Servers crashed at different times count one by one if the part alone explains one of them.

Ruled out by walks: counting crashes 200 ms apart as independent (2 of 4000 walks blocked a sound part in the first second).

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -411,9 +411,7 @@
         ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
         ticket.tried.push(server.clone());
         let trial = self.standing(now, ticket) != Standing::Clear;
-        if trial {
-            self.suspects.begin_trial(&ticket.prompt, &server);
-        }
+        self.suspects.begin_wait(&ticket.prompt, &server);
         let member = self.members.get_mut(&server).expect("chosen from the members");
         let cold = member.is_cold(now);
         if cold {
@@ -464,7 +462,7 @@
         if let Some(member) = self.members.get_mut(server) {
             member.own.tokens = member.own.tokens.saturating_sub(prompt.tokens);
         }
-        self.suspects.end_trial(prompt.fingerprint);
+        self.suspects.end_wait(prompt, server);
     }
 
     /// Records an event of a stream that came `gap` after the previous one.
--- a/components/balance/src/suspect/evidence.rs
+++ b/components/balance/src/suspect/evidence.rs
@@ -3,14 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Crashes after which a part that no server has ever answered is blocked, if each
-/// of them can have no other cause among the requests.
+/// Crashes, apart in time, after which a part that no server has ever answered is
+/// blocked, if each of them can have no other cause among the requests.
 const CERTAIN_CRASHES: usize = 2;
 
-/// Servers that such a part may crash at the same time before it is blocked.
+/// Servers that such a part may crash before it is blocked, if it can be the only
+/// cause of one of these crashes.
 const SERVER_LIMIT: usize = 3;
 
-/// Crashes after which any other part that no server has ever answered is blocked.
+/// Crashes, apart in time, after which any part that no server has ever answered is
+/// blocked.
 const CRASH_LIMIT: usize = 3;
 
 /// Crashes after which a part is blocked although it was once answered. More, since
@@ -71,6 +73,11 @@
         Case { at: crash.at, candidates }
     }
 
+    /// Whether a part is the only candidate.
+    fn is_alone(&self, part: u64) -> bool {
+        self.candidates.values().all(|parts| parts.len() == 1 && parts.contains(&part))
+    }
+
     /// Whether each request that may have caused the crash contains a part.
     fn implies(&self, part: u64) -> bool {
         self.candidates.values().all(|parts| parts.contains(&part))
@@ -112,16 +119,17 @@
     /// Time until which a part blocks requests with `all` these parts.
     fn part_block(&self, part: u64, all: &BTreeSet<u64>) -> Option<Duration> {
         let (count, last) = self.count(part)?;
+        let servers = self.cases_with(part).count().min(self.requests(part).len());
         let is_sufficient = if self.once_sound.contains(&part) {
             count >= ONCE_SOUND_CRASH_LIMIT
         } else if self.cases_with(part).all(|case| case.implies(part)) {
-            let servers = self.cases_with(part).count().min(self.requests(part).len());
             count >= CERTAIN_CRASHES || servers >= SERVER_LIMIT
         } else {
-            count >= CRASH_LIMIT
+            let alone = || self.cases_with(part).any(|case| case.is_alone(part));
+            count >= CRASH_LIMIT || (count >= CERTAIN_CRASHES && servers >= SERVER_LIMIT && alone())
         };
         // After few crashes, each may have been caused by another part.
-        let rivals_count = if count >= CRASH_LIMIT { count } else { 1 };
+        let rivals_count = if servers >= SERVER_LIMIT { count } else { 1 };
         let blocks = is_sufficient && self.rivals(part, rivals_count).is_subset(all);
         blocks.then(|| last + block_time(count))
     }
--- a/components/balance/src/suspect/mod.rs
+++ b/components/balance/src/suspect/mod.rs
@@ -153,8 +153,9 @@
     sound: BTreeMap<u64, Duration>,
     /// The same at other entries, for parts of requests at a crash.
     other_sound: BTreeMap<u64, Duration>,
-    /// Trials of this entry, by fingerprint of the request.
-    trials: BTreeMap<u64, Trial>,
+    /// Attempts of this entry that wait for their first event: shared prompt parts by
+    /// fingerprint of the request and server.
+    waiting: BTreeMap<(u64, Name), BTreeSet<u64>>,
     /// Trials of other entries.
     other_trials: BTreeMap<Name, (Vec<Trial>, Duration)>,
 }
@@ -236,34 +237,47 @@
         self.evidence = Evidence::new(self.crashes.values(), sound_at);
     }
 
-    /// Records that a request runs as a trial at a server.
-    pub fn begin_trial(&mut self, prompt: &Prompt, server: &Name) {
-        let parts = prompt.shared_parts.iter().copied();
-        let parts = parts.filter(|part| self.evidence.is_suspected(*part)).collect();
-        self.trials.insert(prompt.fingerprint, Trial { server: server.clone(), parts });
+    /// Records that an attempt waits for its first event.
+    pub fn begin_wait(&mut self, prompt: &Prompt, server: &Name) {
+        if !prompt.shared_parts.is_empty() {
+            self.waiting.insert((prompt.fingerprint, server.clone()), to_set(prompt));
+        }
     }
 
-    /// Records the end of an attempt of a request, which may have been a trial.
-    pub fn end_trial(&mut self, request: u64) {
-        self.trials.remove(&request);
+    /// Records that an attempt no longer waits.
+    pub fn end_wait(&mut self, prompt: &Prompt, server: &str) {
+        self.waiting.remove(&(prompt.fingerprint, server.into()));
     }
 
-    /// Whether a request with one of these parts runs as a trial.
+    /// Whether a trial of a suspected part of a prompt runs.
     pub fn is_tried(&self, now: Duration, prompt: &Prompt) -> bool {
         let parts = &prompt.shared_parts;
         let shares_part = |trial: &Trial| parts.iter().any(|part| trial.parts.contains(part));
-        self.running_trials(now).any(shares_part)
+        self.own_trials().any(|trial| shares_part(&trial))
+            || self.other_trials(now).any(shares_part)
     }
 
     /// Whether a trial runs at a server.
     pub fn has_trial(&self, now: Duration, server: &Name) -> bool {
-        self.running_trials(now).any(|trial| trial.server == *server)
+        self.own_trials().any(|trial| trial.server == *server)
+            || self.other_trials(now).any(|trial| trial.server == *server)
+    }
+
+    /// The waiting attempts with suspected parts. They include attempts that began
+    /// before their parts were suspected.
+    fn own_trials(&self) -> impl Iterator<Item = Trial> {
+        let waiting = self.waiting.iter().filter(|_| !self.crashes.is_empty());
+        let trials = waiting.map(|((_, server), parts)| {
+            let parts = parts.iter().copied();
+            let parts = parts.filter(|part| self.evidence.is_suspected(*part)).collect();
+            Trial { server: server.clone(), parts }
+        });
+        trials.filter(|trial| !trial.parts.is_empty())
     }
 
-    fn running_trials(&self, now: Duration) -> impl Iterator<Item = &Trial> {
+    fn other_trials(&self, now: Duration) -> impl Iterator<Item = &Trial> {
         let is_fresh = move |(_, at): &&(Vec<Trial>, Duration)| now < *at + TRIAL_LIFETIME;
-        let others = self.other_trials.values().filter(is_fresh).flat_map(|(trials, _)| trials);
-        self.trials.values().chain(others)
+        self.other_trials.values().filter(is_fresh).flat_map(|(trials, _)| trials)
     }
 
     /// The report for the other entries.
@@ -285,7 +299,7 @@
         Report {
             crashes: crashes.collect(),
             sound: self.sound_candidates(now, is_due),
-            trials: self.trials.values().cloned().collect(),
+            trials: self.own_trials().collect(),
         }
     }
 
--- a/components/balance/tests/suspect.rs
+++ b/components/balance/tests/suspect.rs
@@ -183,19 +183,36 @@
     one.record_crash(ms(1000), start("a"), &prompt(1, &[SHARED, CRASHING]));
     two.apply_report(ms(1010), &from, one.report(ms(1010), Scope::Due));
     assert_eq!(two.standing(ms(1011), &prompt(2, &[SHARED])), Standing::Suspected);
-    one.begin_trial(&prompt(3, &[SHARED]), &"b".into());
+    one.begin_wait(&prompt(3, &[SHARED]), &"b".into());
     two.apply_report(ms(1020), &from, one.report(ms(1020), Scope::Due));
     assert!(two.is_tried(ms(1021), &prompt(4, &[SHARED])));
     assert!(!two.is_tried(ms(1021), &prompt(5, &[CRASHING])));
     assert!(two.has_trial(ms(1021), &"b".into()));
     one.record_sound(ms(1200), &[SHARED]);
-    one.end_trial(3);
+    one.end_wait(&prompt(3, &[SHARED]), "b");
     two.apply_report(ms(1210), &from, one.report(ms(1210), Scope::Due));
     assert_eq!(two.standing(ms(1211), &prompt(2, &[SHARED])), Standing::Clear);
     assert_eq!(two.standing(ms(1211), &prompt(2, &[CRASHING])), Standing::Suspected);
     assert!(!two.is_tried(ms(1211), &prompt(4, &[SHARED])));
 }
 
+/// An attempt that began before the crash is a trial as well: no other one begins
+/// while it waits.
+#[test]
+fn is_tried_by_an_earlier_attempt() {
+    let mut register = Register::default();
+    register.begin_wait(&prompt(1, &[CRASHING]), &"a".into());
+    register.begin_wait(&prompt(2, &[CRASHING]), &"b".into());
+    assert!(!register.is_tried(ms(900), &prompt(3, &[CRASHING])));
+    register.end_wait(&prompt(1, &[CRASHING]), "a");
+    register.record_crash(ms(1000), start("a"), &prompt(1, &[CRASHING]));
+    assert!(register.is_tried(ms(1001), &prompt(3, &[CRASHING])));
+    assert!(register.has_trial(ms(1001), &"b".into()));
+    assert_eq!(register.report(ms(1001), Scope::Due).trials.len(), 1);
+    register.end_wait(&prompt(2, &[CRASHING]), "b");
+    assert!(!register.is_tried(ms(1002), &prompt(3, &[CRASHING])));
+}
+
 /// An entry that starts late gets older crashes within two seconds.
 #[test]
 fn report_older_crashes_to_a_new_entry() {
