Entries that start learn of blocked prompt parts at once

Cause: older crashes are part of the heartbeat every two seconds only, so that an entry that had just started sent such requests until then.

An entry answers the first heartbeat of another one's process with all crashes it knows. handle_first_heartbeat_of_a_restarted_entry fails without it.

--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -63,11 +63,20 @@
         {
             self.record_reconnect(now);
         }
+        let is_new = self.neighbours.get(from).is_none_or(|known| known.incarnation < incarnation);
         let neighbour =
             Neighbour { link: link.clone(), last_seen: now, incarnation, last_store_reply };
         self.neighbours.insert(from.clone(), neighbour);
         match message {
-            Message::Heartbeat(heartbeat) => self.apply_heartbeat(now, from, link, heartbeat),
+            Message::Heartbeat(heartbeat) => {
+                let is_starting = is_new && !heartbeat.leaving;
+                let mut replies = self.apply_heartbeat(now, from, link, heartbeat);
+                if is_starting {
+                    // Tells an entry that has just started of blocked prompt parts.
+                    replies.push((link.clone(), self.heartbeat_with(now, Scope::All)));
+                }
+                replies
+            }
             Message::Pull(kind, since) => {
                 let (era, delta) = self.view.delta(kind, since);
                 vec![(link.clone(), Message::Rows(kind, era, delta))]
@@ -178,6 +187,11 @@
 
     /// The heartbeat for the other entries.
     pub fn heartbeat(&self, now: Duration) -> Message {
+        self.heartbeat_with(now, Scope::Due)
+    }
+
+    /// A heartbeat with what `scope` says of suspected prompt parts.
+    fn heartbeat_with(&self, now: Duration, scope: Scope) -> Message {
         let positions = Kind::ALL.iter().map(|kind| (*kind, self.view.position(*kind))).collect();
         let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
         let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
@@ -188,7 +202,7 @@
             holds: self.view.hold_reports(now),
             load,
             crashes: self.crashes.report(),
-            suspects: self.suspects.report(now, Scope::Due),
+            suspects: self.suspects.report(now, scope),
             departing: self.notices.leaving_starts(),
             store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
             leaving: self.leaving,
--- a/components/balance/tests/suspect.rs
+++ b/components/balance/tests/suspect.rs
@@ -226,6 +226,27 @@
     assert!(old.report(ms(62_150), Scope::Due).crashes.is_empty());
 }
 
+/// An entry restarts long after a part was blocked: it learns of the part with the
+/// first reply of another entry, before it can send requests with it.
+#[test]
+fn handle_first_heartbeat_of_a_restarted_entry() {
+    let (mut old, mut new) = (common::blank("entry-1"), common::blank("entry-2"));
+    old.apply(ms(0), common::configured(2, common::config(1)));
+    old.apply(ms(0), common::listing(3, &[("m1", server("models", "a", 1))]));
+    let with_part = Submission { shared_parts: &[CRASHING], ..submission("/stream/notes") };
+    let mut ticket = old.admit(ms(1000), &with_part).unwrap();
+    let target = old.choose(ms(1000), &mut ticket).unwrap();
+    old.end_wait(&target.server, &ticket.prompt);
+    old.fail(ms(1100), &mut ticket, Outcome::Crashed);
+    let (from, link) = ("entry-2".into(), "tcp://x".into());
+    let replies = old.handle(ms(60_050), &from, 1, &link, new.heartbeat(ms(10)));
+    assert!(!new.knows_crash(&target.start()));
+    for (_, reply) in replies {
+        new.handle(ms(12), &"entry-1".into(), 1, &link, reply);
+    }
+    assert!(new.knows_crash(&target.start()));
+}
+
 /// The only request that waited at a crashed server isn't sent to another one. If
 /// others waited there as well, each may go on as a trial.
 #[rstest]
