Restarted entries keep prompt parts blocked

Cause, two parts of one fault in how a started entry takes over: crashes older than the process were all put at its time zero, so that they counted as one, and were reported on as young; and requests were sent in the milliseconds before the other entries' first reply.

The register keeps its own time, in which crashes before the start of the process have a place. Until another entry has reported everything it knows, at most for 300 ms, requests with shared prompt parts wait.

apply_report_of_crashes_before_the_start and choose_before_the_first_report failed before.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -50,6 +50,10 @@
 /// follower of the store.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time from the start of the process within which other entries reply to its first
+/// heartbeat. Until then, requests with shared prompt parts wait.
+const INFORM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Interval between two heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
@@ -124,6 +128,8 @@
     last_store_reply: Option<Duration>,
     /// The latest era of the store reported by another entry.
     peer_era: u64,
+    /// Whether another entry has reported all crashes that it knows.
+    informed: bool,
     leaving: bool,
 }
 
@@ -145,6 +151,7 @@
             slow: slow::Register::default(),
             last_store_reply: None,
             peer_era: 0,
+            informed: false,
             leaving: false,
         }
     }
@@ -324,9 +331,12 @@
         }
     }
 
-    /// Whether another request with a suspected part of the prompt runs as a trial.
+    /// Whether a request must wait, because another one with a suspected part of its
+    /// prompt runs as a trial, or because it isn't known yet which parts are blocked.
     pub fn awaits_trial(&self, now: Duration, ticket: &Ticket) -> bool {
-        self.suspects.is_tried(now, &ticket.prompt)
+        let is_uninformed = !self.informed && now < INFORM_TIMEOUT && !self.links().is_empty();
+        (is_uninformed && !ticket.prompt.shared_parts.is_empty())
+            || self.suspects.is_tried(now, &ticket.prompt)
     }
 
     fn standing(&self, now: Duration, ticket: &Ticket) -> Standing {
@@ -340,12 +350,11 @@
     /// If a part is blocked, or another trial of it runs.
     fn needs_trial(&self, now: Duration, ticket: &Ticket) -> Result<bool, Reason> {
         match self.standing(now, ticket) {
-            Standing::Clear => Ok(false),
-            Standing::Suspected if ticket.waited || self.awaits_trial(now, ticket) => {
-                Err(Reason::Suspected)
-            }
-            Standing::Suspected => Ok(true),
             Standing::Blocked(_) => Err(Reason::Crashes),
+            _ if self.awaits_trial(now, ticket) => Err(Reason::Suspected),
+            Standing::Suspected if ticket.waited => Err(Reason::Suspected),
+            Standing::Suspected => Ok(true),
+            Standing::Clear => Ok(false),
         }
     }
 
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -69,6 +69,7 @@
         self.neighbours.insert(from.clone(), neighbour);
         match message {
             Message::Heartbeat(heartbeat) => {
+                self.informed |= heartbeat.suspects.complete;
                 let is_starting = is_new && !heartbeat.leaving;
                 let mut replies = self.apply_heartbeat(now, from, link, heartbeat);
                 if is_starting {
--- a/components/balance/src/suspect/mod.rs
+++ b/components/balance/src/suspect/mod.rs
@@ -104,6 +104,8 @@
 /// What an entry reports to the others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
+    /// Whether all known crashes are reported.
+    pub complete: bool,
     /// Crashes with their candidates.
     pub crashes: Vec<CrashReport>,
     /// Parts of those requests that this entry has seen answered, each with the time
@@ -164,6 +166,7 @@
     /// Records that a server crashed while it ran a request that had produced no
     /// event.
     pub fn record_crash(&mut self, now: Duration, start: Start, prompt: &Prompt) {
+        let now = shift(now);
         if !prompt.shared_parts.is_empty() {
             add_request(&mut self.crashes, now, start, prompt.fingerprint, to_set(prompt));
             self.index();
@@ -173,6 +176,7 @@
     /// Records that a connection to a server broke while it ran a request that had
     /// produced no event, but that it is not known whether the server crashed.
     pub fn record_break(&mut self, now: Duration, start: Start, prompt: &Prompt) {
+        let now = shift(now);
         if !prompt.shared_parts.is_empty() {
             add_request(&mut self.unconfirmed, now, start, prompt.fingerprint, to_set(prompt));
         }
@@ -185,6 +189,7 @@
 
     /// Confirms that a server crashed.
     pub fn confirm(&mut self, now: Duration, start: &Start) {
+        let now = shift(now);
         let Some(found) = self.unconfirmed.remove(start) else { return };
         for (request, parts) in found.requests {
             let crash = add_request(&mut self.crashes, now, start.clone(), request, parts);
@@ -196,6 +201,7 @@
     /// Records the first event of a request with these parts. Returns those that
     /// were suspected.
     pub fn record_sound(&mut self, now: Duration, parts: &[u64]) -> Vec<u64> {
+        let now = shift(now);
         let suspected = parts.iter().copied().filter(|part| self.evidence.is_suspected(*part));
         let cleared: Vec<u64> = suspected.collect();
         for part in parts {
@@ -218,6 +224,7 @@
 
     /// The standing of a request.
     pub fn standing(&self, now: Duration, prompt: &Prompt) -> Standing {
+        let now = shift(now);
         if self.crashes.is_empty() {
             return Standing::Clear;
         }
@@ -251,6 +258,7 @@
 
     /// Whether a trial of a suspected part of a prompt runs.
     pub fn is_tried(&self, now: Duration, prompt: &Prompt) -> bool {
+        let now = shift(now);
         let parts = &prompt.shared_parts;
         let shares_part = |trial: &Trial| parts.iter().any(|part| trial.parts.contains(part));
         self.own_trials().any(|trial| shares_part(&trial))
@@ -259,6 +267,7 @@
 
     /// Whether a trial runs at a server.
     pub fn has_trial(&self, now: Duration, server: &Name) -> bool {
+        let now = shift(now);
         self.own_trials().any(|trial| trial.server == *server)
             || self.other_trials(now).any(|trial| trial.server == *server)
     }
@@ -282,6 +291,7 @@
 
     /// The report for the other entries.
     pub fn report(&self, now: Duration, scope: Scope) -> Report {
+        let now = shift(now);
         let interval = |at: Duration| at.as_millis() / FULL_REPORT_INTERVAL.as_millis();
         let begins_interval = interval(now) != interval(now.saturating_sub(HEARTBEAT));
         let full = scope == Scope::All || begins_interval;
@@ -297,6 +307,7 @@
                 .collect(),
         });
         Report {
+            complete: full,
             crashes: crashes.collect(),
             sound: self.sound_candidates(now, is_due),
             trials: self.own_trials().collect(),
@@ -329,6 +340,7 @@
 
     /// Applies the report of another entry.
     pub fn apply_report(&mut self, now: Duration, from: &Name, report: Report) {
+        let now = shift(now);
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         for reported in report.crashes {
             let at = time(reported.age_ms);
@@ -352,6 +364,7 @@
 
     /// Drops expired state.
     pub fn sweep(&mut self, now: Duration) {
+        let now = shift(now);
         self.unconfirmed.retain(|_, crash| now < crash.at + CONFIRM_TIMEOUT);
         let count = self.crashes.len();
         self.crashes.retain(|_, crash| now < crash.at + CRASH_LIFETIME);
@@ -397,6 +410,12 @@
     crash
 }
 
+/// Time in the register. Crashes may have happened before the process started, which
+/// its own clock can't express.
+fn shift(now: Duration) -> Duration {
+    now + CRASH_LIFETIME
+}
+
 fn to_set(prompt: &Prompt) -> BTreeSet<u64> {
     prompt.shared_parts.iter().copied().collect()
 }
--- a/components/balance/tests/suspect.rs
+++ b/components/balance/tests/suspect.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use balance::gossip::Message;
 use balance::notice::Start;
 use balance::suspect::{Register, Scope, Standing};
 use balance::{Decision, Outcome, Prompt, Reason, Submission};
@@ -247,6 +248,46 @@
     assert!(new.knows_crash(&target.start()));
 }
 
+/// An entry restarts after two crashes by a part: they happened before its own clock
+/// began, and are two nevertheless.
+#[test]
+fn apply_report_of_crashes_before_the_start() {
+    let (mut old, mut new) = (Register::default(), Register::default());
+    old.record_crash(ms(46_000), start("a"), &prompt(1, &[CRASHING]));
+    old.record_crash(ms(55_000), start("b"), &prompt(2, &[CRASHING]));
+    assert!(is_blocked(&old, ms(60_000), &[CRASHING]));
+    new.apply_report(ms(100), &"entry-1".into(), old.report(ms(60_000), Scope::All));
+    assert!(is_blocked(&new, ms(101), &[CRASHING]));
+    let report = new.report(ms(200), Scope::All);
+    let ages: Vec<u32> = report.crashes.iter().map(|crash| crash.age_ms).collect();
+    assert_eq!(ages, [14_100, 5_100]);
+}
+
+/// Until another entry has reported, or none does in time, requests with shared parts
+/// wait: one of them may be blocked. Others are sent.
+#[test]
+fn choose_before_the_first_report() {
+    let mut entry = ready(&[("m1", server("models", "a", 1))]);
+    let mut other = common::blank("entry-2");
+    let (name, link) = ("entry-2".into(), "tcp://x".into());
+    let Message::Heartbeat(mut heartbeat) = other.heartbeat(ms(10)) else { panic!() };
+    heartbeat.suspects.complete = false;
+    let replies = entry.handle(ms(20), &name, 1, &link, Message::Heartbeat(heartbeat));
+    let with_part = Submission { shared_parts: &[SHARED], ..submission("/stream/notes") };
+    let mut ticket = entry.admit(ms(30), &with_part).unwrap();
+    assert_eq!(entry.choose(ms(30), &mut ticket).unwrap_err().reason, Reason::Suspected);
+    assert!(entry.awaits_trial(ms(30), &ticket));
+    let mut plain = entry.admit(ms(30), &submission("/stream/notes")).unwrap();
+    assert!(entry.choose(ms(30), &mut plain).is_ok());
+    for (_, reply) in replies {
+        for (_, answer) in other.handle(ms(31), &"entry-1".into(), 1, &link, reply) {
+            entry.handle(ms(32), &name, 1, &link, answer);
+        }
+    }
+    assert!(!entry.awaits_trial(ms(33), &ticket));
+    assert!(entry.choose(ms(33), &mut ticket).is_ok());
+}
+
 /// The only request that waited at a crashed server isn't sent to another one. If
 /// others waited there as well, each may go on as a trial.
 #[rstest]
