Links to a restarted entry are dialled again at once

Cause: the other entries' answer to its first heartbeat waited for the backoff of their links, up to half a second and more, and for the next heartbeat after that. Until then the entry didn't know the blocked part.

An entry dials again as soon as a frame of a new process arrives, and sends what waits every 5 ms while a link connects.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -52,7 +52,7 @@
 
 /// Time from the start of the process within which other entries reply to its first
 /// heartbeat. Until then, requests with shared prompt parts wait.
-const INFORM_TIMEOUT: Duration = Duration::from_millis(300);
+const INFORM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Interval between two heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -1,6 +1,8 @@
 //! Exchanges frames with the other entries.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use balance::balancer::HEARTBEAT;
 use balance::content::Kind;
@@ -13,6 +15,12 @@
 
 use crate::shared::Shared;
 
+/// Time within which a link that is dialled normally connects.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Interval of attempts to send frames during that time.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Opens the link; the returned future receives and sends frames until dropped.
 ///
 /// # Errors
@@ -42,8 +50,12 @@
     let mut heartbeat_timer = actix_rt::time::interval(HEARTBEAT);
     heartbeat_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut previous_links: Vec<Name> = Vec::new();
+    let mut incarnations: HashMap<Name, u64> = HashMap::new();
+    let mut connecting_until = shared.now() + CONNECT_TIME;
     loop {
+        let is_connecting = link.backlog() > 0 && shared.now() < connecting_until;
         tokio::select! {
+            () = actix_rt::time::sleep(RETRY_INTERVAL), if is_connecting => {}
             () = due(&mut heartbeat_timer, &shared) => {
                 let now = shared.now();
                 let mut balancer = shared.balancer();
@@ -61,6 +73,13 @@
             }
             frame = frames.recv() => {
                 let Some(frame) = frame else { return };
+                let Sender { link: address, incarnation, .. } = &frame.sender;
+                if incarnations.insert(address.clone(), *incarnation) != Some(*incarnation) {
+                    // The process has started since the last frame. Its link is dialled
+                    // again at once instead of after the backoff.
+                    link.forget(address);
+                    connecting_until = shared.now() + CONNECT_TIME;
+                }
                 for (address, message) in handle_frame(&shared, frame) {
                     push(&mut link, &address, message);
                 }
