--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -62,9 +62,13 @@
 
 /// Sends a streamed chat completion.
 pub async fn chat(url: &str, prompt: &str, tokens: u32) -> Option<Reply> {
+    chat_messages(url, &json!([{"role": "user", "content": prompt}]), tokens).await
+}
+
+/// Requests a streamed chat completion of several messages.
+pub async fn chat_messages(url: &str, messages: &Value, tokens: u32) -> Option<Reply> {
     let body = json!({
-        "model": "fitter", "stream": true, "max_tokens": tokens,
-        "messages": [{"role": "user", "content": prompt}],
+        "model": "fitter", "stream": true, "max_tokens": tokens, "messages": messages,
     });
     let request = client().post(format!("{url}/v1/chat/completions"));
     read(request.insert_header(("content-type", "application/json")), body.to_string()).await
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -187,3 +187,21 @@
         assert_eq!(tally.failed, Vec::<String>::new());
     }
 }
+
+/// Requests of different callers, no two alike, share a message that crashes each
+/// engine that runs it.
+#[actix_rt::test]
+async fn recognize_message_that_crashes_engines() {
+    let cluster = Cluster::start(plan(Duration::ZERO)).await;
+    let before = incarnations(&cluster).await;
+    for (number, entry) in ENTRIES.into_iter().cycle().take(12).enumerate() {
+        let messages = serde_json::json!([
+            {"role": "system", "content": MARKER},
+            {"role": "user", "content": format!("foot {number}")},
+        ]);
+        caller::chat_messages(&cluster.url(entry), &messages, TOKENS).await.expect("an answer");
+        wait_for_evidence(&cluster).await;
+    }
+    let crashes = incarnations(&cluster).await - before;
+    assert!(crashes <= CRASH_LIMIT, "{crashes} crashes");
+}
