--- a/components/balance/src/suspect/mod.rs
+++ b/components/balance/src/suspect/mod.rs
@@ -74,7 +74,7 @@
 
 /// A crash as reported to other entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CrashReport {
+pub struct Incident {
     /// The crashed server.
     pub start: Start,
     /// Time since the crash, in milliseconds.
@@ -83,7 +83,7 @@
     pub requests: Vec<(u64, Vec<u64>)>,
 }
 
-impl CrashReport {
+impl Incident {
     /// The suspected parts of each candidate for the log, in hexadecimal.
     pub fn label(&self) -> String {
         let requests = self.requests.iter().map(|(_, parts)| label(parts));
@@ -107,7 +107,7 @@
     /// Whether all known crashes are reported.
     pub complete: bool,
     /// Crashes with their candidates.
-    pub crashes: Vec<CrashReport>,
+    pub crashes: Vec<Incident>,
     /// Parts of those requests that this entry has seen answered, each with the time
     /// since its last first event, in milliseconds.
     pub sound: Vec<(u64, u32)>,
@@ -297,7 +297,7 @@
         let full = scope == Scope::All || begins_interval;
         let is_due = |learned_at: Duration| full || now < learned_at + REPORT_TIME;
         let crashes = self.crashes.iter().filter(|(_, crash)| is_due(crash.learned_at));
-        let crashes = crashes.map(|(start, crash)| CrashReport {
+        let crashes = crashes.map(|(start, crash)| Incident {
             start: start.clone(),
             age_ms: age_ms(now, crash.at),
             requests: crash
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays a request to backend servers: attempts and buffered responses.
 
 mod stream;
+mod trial;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,14 +10,15 @@
 use adapter::header;
 use balance::config::Kind;
 use balance::suspect;
-use balance::{Decision, Outcome, Prompt, Reason, Refusal, Target, Ticket};
+use balance::{Decision, Outcome, Prompt, Refusal, Target, Ticket};
 use bytes::{Bytes, BytesMut};
-use connection::{Connection, Pool, Probe};
+use connection::{Connection, Pool};
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 
+use self::stream::Source;
 use crate::Error;
 use crate::events::Splitter;
 use crate::quota::{EVENT_LIMIT, RESPONSE_LIMIT, Reservation};
@@ -29,13 +31,6 @@
 /// of the request is unknown.
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time for which a request waits for the trial of a suspected prompt part. A
-/// trial of a sound part ends with its first event.
-const TRIAL_WAIT: Duration = Duration::from_millis(400);
-
-/// Interval between checks whether a trial has ended.
-const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
 /// State that all requests on a thread use.
 pub struct Context {
     /// Shared state of the process.
@@ -94,22 +89,6 @@
     }
 }
 
-/// An event stream that is being received.
-struct Source {
-    connection: Connection,
-    body: Incoming,
-    /// Whether the end of the connection marks the end of the stream.
-    until_close: bool,
-}
-
-impl Source {
-    fn new(connection: Connection, head: &Parts, body: Incoming) -> Source {
-        let delimiters = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
-        let until_close = !delimiters.iter().any(|name| head.headers.contains_key(name));
-        Source { connection, body, until_close }
-    }
-}
-
 /// A request in progress.
 pub struct Relay {
     context: Rc<Context>,
@@ -159,7 +138,7 @@
             shared_parts: request.shared_parts(),
         };
         let mut ticket = shared.balancer().admit(now, &submission)?;
-        let target = choose(&shared, &mut ticket).await?;
+        let target = trial::choose(&shared, &mut ticket).await?;
         let events = Splitter::new(request.last_event.unwrap_or_default());
         let guard = shared.count_request();
         let reservation = shared.quota.reserve(EVENT_LIMIT);
@@ -254,14 +233,7 @@
     async fn fail_over(&mut self, error: Error) -> Result<(), Refusal> {
         let begun = self.attempt.take().is_some_and(|attempt| attempt.first_event_recorded);
         self.source = None;
-        let outcome = match error.outcome() {
-            Outcome::Broken | Outcome::StaleConnection
-                if !self.ticket.begun && self.is_crashed().await =>
-            {
-                Outcome::Crashed
-            }
-            outcome => outcome,
-        };
+        let outcome = self.outcome(error).await;
         if outcome == Outcome::Crashed {
             self.shared().meter.crashes.add(1);
         }
@@ -282,18 +254,6 @@
         }
     }
 
-    /// Whether the backend server has crashed: it refuses connections.
-    async fn is_crashed(&self) -> bool {
-        match connection::probe(self.target.address).await {
-            Probe::Refused => true,
-            Probe::Accepted(connection) => {
-                self.context.pool.put(connection);
-                false
-            }
-            Probe::Unanswered => false,
-        }
-    }
-
     fn switch_to(&mut self, target: Target) {
         self.shared().meter.retries.add(1);
         self.target = target;
@@ -423,28 +383,6 @@
     }
 }
 
-/// Chooses the first backend server. A request with a suspected prompt part waits
-/// for the trial of that part.
-async fn choose(shared: &Shared, ticket: &mut Ticket) -> Result<Target, Refusal> {
-    loop {
-        match choose_now(shared, ticket) {
-            Some(chosen) => return chosen,
-            None => actix_rt::time::sleep(TRIAL_POLL_INTERVAL).await,
-        }
-    }
-}
-
-/// The choice, or `None` if the request has to wait for a trial.
-fn choose_now(shared: &Shared, ticket: &mut Ticket) -> Option<Result<Target, Refusal>> {
-    let now = shared.now();
-    let mut balancer = shared.balancer();
-    let chosen = balancer.choose(now, ticket);
-    let is_suspected = chosen.as_ref().is_err_and(|refusal| refusal.reason == Reason::Suspected);
-    let waits =
-        is_suspected && now < ticket.arrived + TRIAL_WAIT && balancer.awaits_trial(now, ticket);
-    (!waits).then_some(chosen)
-}
-
 /// How a response was processed.
 enum Disposition {
     /// The stream began with this head.
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -5,9 +5,12 @@
 
 use balance::{Decision, Reason, Refusal};
 use bytes::Bytes;
+use connection::Connection;
+use http::response::Parts;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
-use super::{Relay, Source};
+use super::Relay;
 use crate::Error;
 use crate::timeout::Timeout;
 
@@ -18,6 +21,22 @@
 /// Interval between attempts to find a backend server during that time.
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// An event stream that is being received.
+pub(super) struct Source {
+    connection: Connection,
+    body: Incoming,
+    /// Whether the end of the connection marks the end of the stream.
+    until_close: bool,
+}
+
+impl Source {
+    pub(super) fn new(connection: Connection, head: &Parts, body: Incoming) -> Source {
+        let delimiters = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+        let until_close = !delimiters.iter().any(|name| head.headers.contains_key(name));
+        Source { connection, body, until_close }
+    }
+}
+
 impl Relay {
     /// Returns the next events of the stream, or `None` once it is complete.
     ///
