A stream that had events goes on without waiting for a trial

A running stream that was cut by the crash of another server's neighbour could end with 'a part of the prompt may have crashed a backend server and is being tried', though its own events show that its prompt is sound.

Cause: the parts of a running stream were answered before the crash, so that a request beside it at the crashed server made them suspected again. Found by reading the diff.

A request that has had events needs no trial. Before the change retry_begun_stream_during_a_trial ends with that refusal.

--- a/components/balance/src/balancer/choose.rs
+++ b/components/balance/src/balancer/choose.rs
@@ -48,12 +48,16 @@
         self.suspects.standing(now, &ticket.prompt)
     }
 
-    /// Whether an attempt would be a trial of a suspected prompt part.
+    /// Whether an attempt would be a trial of a suspected prompt part. A request that
+    /// has had events needs none.
     ///
     /// # Errors
     ///
     /// If a part is blocked, or another trial of it runs.
     fn needs_trial(&self, now: Duration, ticket: &Ticket) -> Result<bool, Reason> {
+        if ticket.begun {
+            return Ok(false);
+        }
         match self.standing(now, ticket) {
             Standing::Blocked(_) => Err(Reason::Crashes),
             _ if self.awaits_trial(now, ticket) => Err(Reason::Suspected),
@@ -137,7 +141,7 @@
     ) -> Target {
         ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
         ticket.tried.push(server.clone());
-        let trial = self.standing(now, ticket) != Standing::Clear;
+        let trial = !ticket.begun && self.standing(now, ticket) != Standing::Clear;
         self.suspects.begin_wait(&ticket.prompt, &server);
         let member = self.members.get_mut(&server).expect("chosen from the members");
         let cold = member.is_cold(now);
--- a/components/balance/tests/suspect.rs
+++ b/components/balance/tests/suspect.rs
@@ -322,6 +322,34 @@
     }
 }
 
+/// A server crashes while a stream runs there and a request with the same part waits.
+/// The stream goes on elsewhere at once, though a trial of the part runs.
+#[test]
+fn retry_begun_stream_during_a_trial() {
+    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
+    let mut balancer = ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())));
+    let admit = |balancer: &mut balance::Balancer, fingerprint| {
+        let submission =
+            Submission { fingerprint, shared_parts: &[SHARED], ..submission("/stream/notes") };
+        balancer.admit(ms(1000), &submission).unwrap()
+    };
+    let [mut begun, mut waiting, mut trial] = [1, 2, 3].map(|id| admit(&mut balancer, id));
+    for ticket in [&mut begun, &mut waiting] {
+        ticket.tried = vec!["m2".into(), "m3".into()];
+        balancer.choose(ms(1000), ticket).unwrap();
+        ticket.tried = vec!["m1".into()];
+    }
+    balancer.record_first_event(ms(1200), "m1", &begun.prompt);
+    begun.begun = true;
+    balancer.end_wait("m1", &waiting.prompt);
+    balancer.fail(ms(1300), &mut waiting, Outcome::Crashed);
+    assert!(balancer.choose(ms(1300), &mut trial).unwrap().trial);
+    match balancer.fail(ms(1301), &mut begun, Outcome::Broken) {
+        Decision::Retry(target) => assert!(!target.trial),
+        Decision::Stop(refusal) => panic!("{refusal:?}"),
+    }
+}
+
 /// Requests wait for the trial of their part. It crashes its server, and the evidence
 /// isn't sufficient yet: they are refused, since all would begin trials at once.
 #[test]
