Suspected prompt parts: no work repeated for each request and heartbeat

While any crash was known, for two hours after it, each heartbeat of another entry rebuilt the candidates though it reported nothing, each choice of a server built the parts of all waiting attempts once per server, and the standing of a request was worked out again at the start of its attempt. The end of each attempt allocated a name, also for requests without prompts.

Candidates are rebuilt only after a report with crashes or answered parts; has_trial and is_tried look at the attempts in place; pick says whether its choice is a trial; attempts without shared parts are not looked up. The gateway forgets the incarnation of an entry with its link.

Costs before and after were not measured.

--- a/components/balance/src/balancer/choose.rs
+++ b/components/balance/src/balancer/choose.rs
@@ -17,6 +17,13 @@
 /// heartbeat. Until then, requests with shared prompt parts wait.
 const INFORM_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The server for an attempt.
+pub(super) struct Picked {
+    server: Name,
+    /// Whether the attempt is a trial of a suspected prompt part.
+    trial: bool,
+}
+
 impl Balancer {
     /// Chooses the backend server for the first attempt.
     ///
@@ -28,7 +35,7 @@
             return Err(self.refuse(now, ticket, Reason::DeadlineExceeded));
         }
         match self.pick(now, ticket) {
-            Ok(server) => Ok(self.begin_attempt(now, ticket, server)),
+            Ok(picked) => Ok(self.begin_attempt(now, ticket, picked)),
             Err(reason) => {
                 ticket.waited |= reason == Reason::Suspected;
                 Err(self.refuse(now, ticket, reason))
@@ -67,7 +74,7 @@
         }
     }
 
-    pub(super) fn pick(&mut self, now: Duration, ticket: &Ticket) -> Result<Name, Reason> {
+    pub(super) fn pick(&mut self, now: Duration, ticket: &Ticket) -> Result<Picked, Reason> {
         let is_trial = self.needs_trial(now, ticket)?;
         let entries = self.entries(now);
         let pool = self.view.config().and_then(|config| config.pools.get(&ticket.pool));
@@ -108,7 +115,7 @@
         let open = self.keep_trials_apart(now, open, is_trial);
         let scored = open.into_iter().map(|name| (name, &self.members[name]));
         match choice::least_loaded(now, scored, context, &mut self.rng) {
-            Some(server) => Ok(server),
+            Some(server) => Ok(Picked { server, trial: is_trial }),
             None if !candidates.is_empty() => Err(Reason::Full),
             None if cold => Err(Reason::Cold),
             None if any => Err(Reason::Full),
@@ -137,11 +144,10 @@
         &mut self,
         now: Duration,
         ticket: &mut Ticket,
-        server: Name,
+        Picked { server, trial }: Picked,
     ) -> Target {
         ticket.attempts_left = ticket.attempts_left.saturating_sub(1);
         ticket.tried.push(server.clone());
-        let trial = !ticket.begun && self.standing(now, ticket) != Standing::Clear;
         self.suspects.begin_wait(&ticket.prompt, &server);
         let member = self.members.get_mut(&server).expect("chosen from the members");
         let cold = member.is_cold(now);
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -53,12 +53,12 @@
             return Decision::Stop(self.refuse(now, ticket, Reason::DeadlineExceeded));
         }
         match self.pick(now, ticket) {
-            Ok(server) => {
+            Ok(picked) => {
                 let pool = ticket.pool.clone();
                 if !self.budget(now, &pool).spend(now) {
                     return Decision::Stop(self.refuse(now, ticket, Reason::Budget));
                 }
-                Decision::Retry(self.begin_attempt(now, ticket, server))
+                Decision::Retry(self.begin_attempt(now, ticket, picked))
             }
             Err(reason) => Decision::Stop(self.refuse(now, ticket, reason)),
         }
--- a/components/balance/src/crash.rs
+++ b/components/balance/src/crash.rs
@@ -1,9 +1,9 @@
 //! Detection of requests that crash backend servers.
 //!
 //! Each attempt that ends in a broken connection or an invalid response before it
-//! has produced an event counts as a crash of the request's fingerprint. Entries share their counts through
-//! gossip. A request that reaches [`CRASH_LIMIT`] is refused until the counts
-//! expire.
+//! has produced an event counts as a crash of the request's fingerprint. Entries
+//! share their counts through gossip. A request that reaches [`CRASH_LIMIT`] is
+//! refused until the counts expire.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/components/balance/src/suspect/mod.rs
+++ b/components/balance/src/suspect/mod.rs
@@ -253,22 +253,27 @@
 
     /// Records that an attempt no longer waits.
     pub fn end_wait(&mut self, prompt: &Prompt, server: &str) {
-        self.waiting.remove(&(prompt.fingerprint, server.into()));
+        if !prompt.shared_parts.is_empty() {
+            self.waiting.remove(&(prompt.fingerprint, server.into()));
+        }
     }
 
     /// Whether a trial of a suspected part of a prompt runs.
     pub fn is_tried(&self, now: Duration, prompt: &Prompt) -> bool {
         let now = shift(now);
-        let parts = &prompt.shared_parts;
-        let shares_part = |trial: &Trial| parts.iter().any(|part| trial.parts.contains(part));
-        self.own_trials().any(|trial| shares_part(&trial))
-            || self.other_trials(now).any(shares_part)
+        prompt.shared_parts.iter().any(|part| {
+            self.other_trials(now).any(|trial| trial.parts.contains(part))
+                || (self.evidence.is_suspected(*part)
+                    && self.waiting.values().any(|parts| parts.contains(part)))
+        })
     }
 
     /// Whether a trial runs at a server.
     pub fn has_trial(&self, now: Duration, server: &Name) -> bool {
         let now = shift(now);
-        self.own_trials().any(|trial| trial.server == *server)
+        let is_suspected = |part: &u64| self.evidence.is_suspected(*part);
+        let mut here = self.waiting.iter().filter(|((_, at), _)| at == server);
+        here.any(|(_, parts)| parts.iter().any(is_suspected))
             || self.other_trials(now).any(|trial| trial.server == *server)
     }
 
@@ -341,6 +346,7 @@
     /// Applies the report of another entry.
     pub fn apply_report(&mut self, now: Duration, from: &Name, report: Report) {
         let now = shift(now);
+        let changes = !report.crashes.is_empty() || !report.sound.is_empty();
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         for reported in report.crashes {
             let at = time(reported.age_ms);
@@ -357,7 +363,7 @@
             mark_sound(&mut self.other_sound, time(age_ms), part);
         }
         self.other_trials.insert(from.clone(), (report.trials, now));
-        if !self.crashes.is_empty() {
+        if changes {
             self.index();
         }
     }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -65,6 +65,7 @@
                 drop(balancer);
                 for removed in previous_links.iter().filter(|name| !links.contains(name)) {
                     link.forget(removed);
+                    incarnations.remove(removed);
                 }
                 for address in &links {
                     push(&mut link, address, heartbeat.clone());
