Fixtures of the tests of suspected prompt parts stand once

Three tests built the same three servers and the same requests with one shared part. models and admit serve them; no assertion changes, 22 tests pass.

--- a/components/balance/tests/suspect.rs
+++ b/components/balance/tests/suspect.rs
@@ -8,7 +8,7 @@
 use balance::gossip::Message;
 use balance::notice::Start;
 use balance::suspect::{Register, Scope, Standing};
-use balance::{Decision, Outcome, Prompt, Reason, Submission};
+use balance::{Balancer, Decision, Outcome, Prompt, Reason, Submission, Ticket};
 use common::{ms, ready, server, submission};
 use rstest::rstest;
 
@@ -26,6 +26,19 @@
     Prompt { tokens: 100, fingerprint, shared_parts: parts.into() }
 }
 
+/// An entry with three model servers.
+fn models() -> Balancer {
+    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
+    ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())))
+}
+
+/// Admits a request with one shared part.
+fn admit(balancer: &mut Balancer, fingerprint: u64, part: u64) -> Ticket {
+    let shared_parts = &[part];
+    let submission = Submission { fingerprint, shared_parts, ..submission("/stream/notes") };
+    balancer.admit(ms(1000), &submission).unwrap()
+}
+
 fn is_blocked(register: &Register, now: Duration, parts: &[u64]) -> bool {
     matches!(register.standing(now, &prompt(99, parts)), Standing::Blocked(_))
 }
@@ -294,14 +307,10 @@
 #[case::alone(1, false)]
 #[case::one_of_two(2, true)]
 fn fail_after_crash(#[case] waiting: u64, #[case] retried: bool) {
-    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
-    let mut balancer = ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())));
+    let mut balancer = models();
     let mut tickets = Vec::new();
     for fingerprint in 1..=waiting {
-        let parts = [fingerprint];
-        let submission =
-            Submission { fingerprint, shared_parts: &parts, ..submission("/stream/notes") };
-        let mut ticket = balancer.admit(ms(1000), &submission).unwrap();
+        let mut ticket = admit(&mut balancer, fingerprint, fingerprint);
         ticket.tried = vec!["m2".into(), "m3".into()];
         balancer.choose(ms(1000), &mut ticket).unwrap();
         ticket.tried = vec!["m1".into()];
@@ -326,13 +335,8 @@
 /// The stream goes on elsewhere at once, though a trial of the part runs.
 #[test]
 fn retry_begun_stream_during_a_trial() {
-    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
-    let mut balancer = ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())));
-    let admit = |balancer: &mut balance::Balancer, fingerprint| {
-        let submission =
-            Submission { fingerprint, shared_parts: &[SHARED], ..submission("/stream/notes") };
-        balancer.admit(ms(1000), &submission).unwrap()
-    };
+    let mut balancer = models();
+    let admit = |balancer: &mut Balancer, id| admit(balancer, id, SHARED);
     let [mut begun, mut waiting, mut trial] = [1, 2, 3].map(|id| admit(&mut balancer, id));
     for ticket in [&mut begun, &mut waiting] {
         ticket.tried = vec!["m2".into(), "m3".into()];
@@ -354,14 +358,9 @@
 /// isn't sufficient yet: they are refused, since all would begin trials at once.
 #[test]
 fn choose_after_waiting_for_a_trial() {
-    let servers = [1, 2, 3].map(|port| (format!("m{port}"), server("models", "a", port)));
-    let mut balancer = ready(&servers.each_ref().map(|(name, server)| (&**name, server.clone())));
-    let admit = |balancer: &mut balance::Balancer, fingerprint| {
-        let submission =
-            Submission { fingerprint, shared_parts: &[CRASHING], ..submission("/stream/notes") };
-        balancer.admit(ms(1000), &submission).unwrap()
-    };
-    let crash = |balancer: &mut balance::Balancer, at, ticket: &mut balance::Ticket| {
+    let mut balancer = models();
+    let admit = |balancer: &mut Balancer, id| admit(balancer, id, CRASHING);
+    let crash = |balancer: &mut Balancer, at, ticket: &mut Ticket| {
         let target = balancer.choose(at, ticket).unwrap();
         balancer.end_wait(&target.server, &ticket.prompt);
         balancer.release(&target.server);
