--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -615,3 +615,40 @@
         ("Prompt-Prefix", "5c1e07a2:40,%s:674" % ("%08x" % (zlib.crc32(id.encode())))),
     ]
     return fields + [("Last-Event-Id", last)] if last else fields
+
+
+# --- A proxy ---------------------------------------------------------------------
+
+
+class Proxy:
+    """Forwards connections to `target`. While `cut` is set, nothing passes, and new
+    connections hang; `silence()` does this to the connections open at that time."""
+
+    def __init__(self, target, address=("127.0.0.1", 0)):
+        self.target, self.cut = target, False
+        self.silent_before, self.count = 0, 0
+        self.server = Server(address, self.forward)
+        self.address = self.server.address
+
+    def silence(self):
+        self.silent_before = self.count
+
+    def forward(self, client):
+        self.count += 1
+        number = self.count
+        target = socket.socket()
+        target.connect(self.target)
+        target.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            while True:
+                readable, _, _ = select.select([client.sock, target], [], [], 0.05)
+                if self.cut or number <= self.silent_before:
+                    time.sleep(0.01)
+                    continue
+                for source in readable:
+                    data = source.recv(65536)
+                    if not data:
+                        return
+                    (target if source is client.sock else client.sock).sendall(data)
+        finally:
+            target.close()
