--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -377,13 +377,24 @@
         role = deploy.split("[roles.entry]")[1].split("[roles.")[0]
         run = re.search(r'run = "([^"]+)"', role).group(1)
         template = re.search(r'template = "([^"]+)"', role).group(1)
+        self.template = open(os.path.join(ROOT, template)).read()
         self.settings = os.path.join(folder, name + ".json")
-        with open(self.settings, "w") as file:
-            file.write(render(open(os.path.join(ROOT, template)).read(), fields))
+        self.fields = fields
+        self.write_settings()
         self.command = run.replace("/etc/wisteriastream/boot.toml", self.settings).split(" ")
         self.log = os.path.join(folder, name + ".log")
         self.process = None
 
+    def write_settings(self):
+        with open(self.settings, "w") as file:
+            file.write(render(self.template, self.fields))
+
+    def change_bound(self, name, value):
+        """Writes the settings file anew, as the platform does when settings change."""
+        self.fields["bounds"] = dict(self.fields["bounds"], **{name: value})
+        self.write_settings()
+        self.record.write("%s: %s is %s now" % (self.name, name, value))
+
     def start(self):
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
