--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 from harness import *
 
-STREAMS = 192          # 12 workers, 16 answers each
+STREAMS = 288          # 12 workers, 24 answers each on average
 SPOILING_WORKERS = 4   # garble: share 0.35 of 12 workers
 SPOILED_SHARE = 0.02   # garble: x = 0.02 of the answers of these workers
 EVENTS_PER_WRITE = 2
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,9 +28,8 @@
     broken = []
     for turn in range(ROUNDS):
         time.sleep(IN_TOUCH_S)
-        # A server's entry changes, as at any time.
-        worker = world.workers[turn % 3]
-        world.store.put("servers", worker.name, dict(worker.description(), version="v%d" % (turn + 2)))
+        # Another worker comes, as at any time: the store has just answered the followers.
+        world.add_workers("front-desk", 1)
         time.sleep(0.1)
         if TROUBLE:
             for proxy in proxies[:2]:
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -166,10 +166,15 @@
     return "%s:%d" % address[:2]
 
 
-def free_port(ip="127.0.0.1"):
-    with socket.socket() as probe:
+def free_ports(ip, count):
+    """Different free ports of an address."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 # --- The platform's store ----------------------------------------------------
@@ -438,7 +443,8 @@
         self.store = Store(self.record)
 
     def add_workers(self, service, count, **options):
-        for index in range(count):
+        known = len(self.workers)
+        for index in range(known, known + count):
             zone = self.ZONES[index % 3]
             name = "i-%s-%d" % (service, index)
             worker = Worker(self.record, name, service, zone, "127.0.2.%d" % (index + 1), **options)
@@ -447,8 +453,8 @@
 
     def start_gateways(self, count, stores=None, memory_mb=260):
         ips = ["127.0.1.%d" % (index + 1) for index in range(count)]
-        ports = {key: free_port(ips[0]) for key in ("front", "ready", "control")}
-        ports["link"] = free_port(ips[0])
+        names = ("front", "ready", "control", "link")
+        ports = dict(zip(names, free_ports(ips[0], len(names))))
         seeds = [text((ip, ports["control"])) for ip in ips[:3]]
         for index, ip in enumerate(ips):
             zone = self.ZONES[index % 3]
@@ -475,7 +481,12 @@
 
 def main(case, play):
     """Runs `play(world)`, which returns whether the rule was broken, and exits."""
-    world = None
+    world, code = None, NOT_RUN
+
+    def stop(number, frame):
+        raise RuntimeError("the time is over")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         world = World(case)
         broken = play(world)
@@ -485,7 +496,6 @@
         print("could not run: %r" % error, file=sys.stderr)
         if world:
             world.record.write("could not run: %r" % error)
-        code = NOT_RUN
     finally:
         if world:
             world.close()
