--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,11 +36,10 @@
         return served
 
     before = serve_all("before")
-    # The platform renders the settings file again, at the start and when settings change.
+    # The settings file changes without a signal.
     if TROUBLE:
         for gateway in world.gateways:
             gateway.change_bound("grace_period_s", GRACE_PERIOD_S)
-            gateway.signal(signal.SIGHUP)
         time.sleep(2.5)
     starts = 0
     for gateway in world.gateways:
