Entries say where their changes come from and how old their copy is

Now a line `source of changes` at each switch, `synced_ms` and `follows_store` in the dump, and the gauge gateway_synced_age_seconds by kind. Requests that the entry rejects as wrong count in gateway_denied by status, and `refused` names the version of the configuration that decided. No change of logic.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -181,6 +181,12 @@
         self.view.position(kind)
     }
 
+    /// Time since the local copy of a kind was last known to match the store;
+    /// `None` before the first reply.
+    pub fn synced_age(&self, now: Duration, kind: Kind) -> Option<Duration> {
+        self.view.synced_age(now, kind)
+    }
+
     /// The latest known era of the store.
     pub fn era(&self) -> u64 {
         let eras = Kind::ALL.iter().map(|kind| self.position(*kind).era);
@@ -398,6 +404,9 @@
             self.members.iter().map(|(name, member)| (name, member.summary(now))).collect();
         let positions: BTreeMap<_, _> =
             Kind::ALL.iter().map(|kind| (format!("{kind:?}"), self.view.position(*kind))).collect();
+        let synced_ms = |kind: &Kind| self.synced_age(now, *kind).map(|age| age.as_millis());
+        let synced: BTreeMap<_, _> =
+            Kind::ALL.iter().map(|kind| (format!("{kind:?}"), synced_ms(kind))).collect();
         let pool = |(name, pace): (&Name, &Pace)| {
             let shown = serde_json::json!({
                 "gap_ms": pace.mean_gap().as_millis() as u64, "share": pace.share(now),
@@ -412,6 +421,8 @@
             "entries": self.entries(now),
             "config_version": self.config().map(|config| config.version),
             "positions": positions,
+            "synced_ms": synced,
+            "follows_store": self.follows_store(now),
             "zones_out": self.view.zones_out(now),
             "holds": self.view.hold_reports(now),
             "suspects": self.suspects.report(now, Scope::All),
--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -121,6 +121,12 @@
         *synced_at = at.max(*synced_at);
     }
 
+    /// Time since the rows of a kind were last known to match the store; `None`
+    /// before the first reply.
+    pub fn synced_age(&self, now: Duration, kind: Kind) -> Option<Duration> {
+        self.synced_at.get(&kind).map(|at| now.saturating_sub(*at))
+    }
+
     /// Time against which the expiry of a hold is checked.
     fn as_of(&self, now: Duration, subject: &Subject) -> Duration {
         let synced_at = |kind| self.synced_at.get(&kind).copied().unwrap_or_default();
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -28,14 +28,18 @@
 
 async fn respond(context: Rc<Context>, request: &HttpRequest, payload: Payload) -> HttpResponse {
     let Ok(mut parsed) = Request::read(request) else {
+        context.shared.meter.record_denial(400);
         log::info!(target: "request", status = 400; "malformed head");
         return HttpResponse::BadRequest().finish();
     };
-    let limit =
-        context.shared.balancer().config().map_or(DEFAULT_BODY_LIMIT, |config| config.limits.body);
+    let (config, limit) = match context.shared.balancer().config() {
+        Some(config) => (config.version, config.limits.body),
+        None => (0, DEFAULT_BODY_LIMIT),
+    };
     match read_body(payload, limit).await {
         Ok(body) => parsed.body = body,
         Err(status) => {
+            context.shared.meter.record_denial(status);
             log::info!(target: "request", id:% = parsed.id, status = status, limit = limit;
                 "body not taken");
             return response_builder(status).force_close().finish();
@@ -46,7 +50,8 @@
         Ok(relay) => relay,
         Err(refusal) => {
             context.shared.meter.refused.add(1);
-            log::info!(target: "request", id:% = id, status = refusal.status,
+            context.shared.meter.record_denial(refusal.status);
+            log::info!(target: "request", id:% = id, status = refusal.status, config = config,
                 reason:% = refusal.reason, prompt:% = suspect::label(&parts),
                 retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
                 "refused");
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -1,6 +1,14 @@
 //! Metrics of the entry.
 
-use telemetry::{Counter, Histogram, Metrics};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use balance::content::Kind;
+use telemetry::{Counter, Gauge, Histogram, Metrics};
+
+/// Statuses of the entry's own responses that reject a request as wrong.
+const DENIALS: [(u16, &str); 6] =
+    [(400, "400"), (401, "401"), (404, "404"), (408, "408"), (413, "413"), (431, "431")];
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 12] =
@@ -14,6 +22,10 @@
     pub answered: Counter,
     /// Requests that the entry refused or failed.
     pub refused: Counter,
+    /// Requests rejected as wrong, by status.
+    denied: BTreeMap<u16, Counter>,
+    /// Time since the copy of each kind was known to match the store.
+    synced_age: BTreeMap<Kind, Gauge>,
     /// Responses that were aborted.
     pub cut: Counter,
     /// Requests whose caller disconnected.
@@ -47,7 +59,18 @@
     pub fn new(metrics: &Metrics) -> Meter {
         let counter = |name, help| metrics.counter(name, help, &[]);
         let histogram = |name, help| metrics.histogram(name, help, &BUCKETS_SECONDS, &[]);
+        let denied = |(status, label): (u16, &str)| {
+            let help = "Requests that the entry rejected as wrong";
+            (status, metrics.counter("gateway_denied", help, &[("status", label)]))
+        };
+        let synced_age = |kind: Kind| {
+            let help = "Time since the entry's copy was known to match the store";
+            let label = format!("{kind:?}");
+            (kind, metrics.gauge("gateway_synced_age_seconds", help, &[("kind", &label)]))
+        };
         Meter {
+            denied: DENIALS.into_iter().map(denied).collect(),
+            synced_age: Kind::ALL.into_iter().map(synced_age).collect(),
             requests: counter("gateway_requests", "Requests that arrived"),
             answered: counter("gateway_answered", "Requests answered whole"),
             refused: counter("gateway_refused", "Requests that the entry refused or failed"),
@@ -81,4 +104,19 @@
             answer_seconds: histogram("gateway_answer_seconds", "Time to the whole answer"),
         }
     }
+
+    /// Counts a request rejected with `status`, if the status says that the request
+    /// is wrong.
+    pub fn record_denial(&self, status: u16) {
+        if let Some(counter) = self.denied.get(&status) {
+            counter.add(1);
+        }
+    }
+
+    /// Records the time since the copy of a kind was known to match the store.
+    pub fn record_synced_age(&self, kind: Kind, age: Duration) {
+        if let Some(gauge) = self.synced_age.get(&kind) {
+            gauge.set(age.as_secs_f64());
+        }
+    }
 }
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -28,9 +28,13 @@
 /// Keeps the objects of one kind up to date until the future is dropped.
 pub async fn follow(shared: Arc<Shared>, store: Store, kind: Kind, seed: u64) {
     let mut poller = Poller::new(seed);
+    let mut followed = None;
     loop {
-        let now = shared.now();
-        if !shared.balancer().follows_store(now) {
+        let follows = follows_store(&shared, kind);
+        if followed.replace(follows) != Some(follows) {
+            log_source(&shared, kind, follows);
+        }
+        if !follows {
             actix_rt::time::sleep(FOLLOW_CHECK_INTERVAL).await;
             continue;
         }
@@ -63,6 +67,26 @@
     }
 }
 
+/// Whether the entry has to follow a kind itself. Records the age of its copy.
+fn follows_store(shared: &Shared, kind: Kind) -> bool {
+    let now = shared.now();
+    let balancer = shared.balancer();
+    if let Some(age) = balancer.synced_age(now, kind) {
+        shared.meter.record_synced_age(kind, age);
+    }
+    balancer.follows_store(now)
+}
+
+/// Logs where changes of a kind come from from now on.
+fn log_source(shared: &Shared, kind: Kind, follows: bool) {
+    let balancer = shared.balancer();
+    let age = balancer.synced_age(shared.now(), kind);
+    let source = if follows { "the store" } else { "other entries" };
+    log::info!(target: "store", kind:? = kind, source = source,
+        position:% = balancer.position(kind), synced_ms:? = age.map(|age| age.as_millis());
+        "source of changes");
+}
+
 async fn call_store(store: &Store, kind: Kind, call: Call) -> Result<Listed, Error> {
     match call {
         Call::List => store.list(kind).await,
