Entries use copies of the store's objects only as long as they are current

What callers saw: an entry went on with a revoked key, for as long as the trouble lasted: 29 s, 2.8 s, or for good.

Cause: two entries watch the store, the others take changes from them. An entry decided by the followers' heartbeats alone ("the store answers me") that it need not ask itself. It never checked that its own copy kept up. It stayed behind when the rows didn't reach it (its messages are ignored, a link works one way), when the store answered the followers' calls for other kinds only, and for STORE_LIFETIME (2.8 s, above config_apply_ms) when the followers lost the store.

Fix: the age of each copy decides. Heartbeats carry, by kind, the position and the time since the store's answer; a copy that is complete up to such a position was current at that time. An entry whose copy is older than 0.7 of the time within which a change must take effect asks the store itself, whatever the reason. That time comes from the platform's settings, by kind (config_apply_ms, drain_ms, evacuation_ms), as does the wait of a watch (0.45 of it). Rows from another entry no longer count as proof that the copy is current now, nor do answers older than the copy.

Ruled out: watching by every entry (at 640 entries a third of the store's rate; the followers' own silent watch would still be late).

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -17,6 +17,7 @@
 use crate::config::{Config, Unmatched};
 use crate::content::{Kind, Server};
 use crate::crash::Register;
+use crate::freshness;
 use crate::hold;
 use crate::member::Member;
 use crate::notice::{Notices, Start};
@@ -41,9 +42,9 @@
 /// one causes no delay.
 const FOLLOWERS: usize = 2;
 
-/// Time since the store's last reply to an entry after which the entry no longer
-/// counts as a follower of the store. Longer than the wait of a watch request.
-const STORE_LIFETIME: Duration = Duration::from_millis(2800);
+/// Time without a reply of the store after which the next one ends an outage, so that
+/// servers that it lacks may only have expired meanwhile.
+const OUTAGE_MIN: Duration = Duration::from_millis(2800);
 
 /// Time since the last message of an entry after which it no longer counts as a
 /// follower of the store.
@@ -85,6 +86,8 @@
     pub limits: Limits,
     /// Durations of holds after a restore of the store.
     pub holds: hold::Bounds,
+    /// Times within which changes in the store must take effect.
+    pub freshness: freshness::Bounds,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -95,8 +98,8 @@
     link: Name,
     last_seen: Duration,
     incarnation: u64,
-    /// Time of the store's last reply to it, as reported by it.
-    last_store_reply: Option<Duration>,
+    /// Time of the store's last reply to it for each kind, as reported by it.
+    store_replies: BTreeMap<Kind, Duration>,
 }
 
 /// Lag of a kind behind another entry.
@@ -120,7 +123,8 @@
     notices: Notices,
     slow: slow::Register,
     rng: ChaCha8Rng,
-    last_store_reply: Option<Duration>,
+    /// Time of the store's last reply to this entry, by kind.
+    store_replies: BTreeMap<Kind, Duration>,
     /// The latest era of the store reported by another entry.
     peer_era: u64,
     /// Whether another entry has reported all crashes that it knows.
@@ -144,7 +148,7 @@
             suspects: suspect::Register::default(),
             notices: Notices::default(),
             slow: slow::Register::default(),
-            last_store_reply: None,
+            store_replies: BTreeMap::new(),
             peer_era: 0,
             informed: false,
             leaving: false,
@@ -157,8 +161,14 @@
     }
 
     /// Applies changed limits.
-    pub fn set_limits(&mut self, limits: Limits) {
+    pub fn set_limits(&mut self, limits: Limits, freshness: freshness::Bounds) {
         self.options.limits = limits;
+        self.options.freshness = freshness;
+    }
+
+    /// Longest wait of a watch for changes of a kind.
+    pub fn watch_timeout(&self, kind: Kind) -> Duration {
+        self.options.freshness.watch_timeout(kind)
     }
 
     /// Begins the shutdown of the entry: it is no longer ready.
@@ -198,25 +208,30 @@
         self.view.record_reconnect(now);
     }
 
-    /// Records a reply of the store.
-    pub fn record_store_reply(&mut self, now: Duration) {
-        self.last_store_reply = Some(now);
+    /// Records a reply of the store to a call for a kind.
+    pub fn record_store_reply(&mut self, now: Duration, kind: Kind) {
+        self.store_replies.insert(kind, now);
     }
 
-    /// Whether this entry watches the store itself. The first entries by name
-    /// that the store answers do; the others get updates from them.
-    pub fn follows_store(&self, now: Duration) -> bool {
+    /// Whether this entry watches a kind in the store itself. The first entries by
+    /// name that the store answers do; the others get updates from them, as long as
+    /// these keep their copies current.
+    pub fn follows_store(&self, now: Duration, kind: Kind) -> bool {
         if !self.view.is_known(Kind::Config) || !self.view.is_known(Kind::Server) {
             return true;
         }
+        let max_age = self.options.freshness.max_age(kind);
+        if self.view.synced_age(now, kind).is_none_or(|age| age >= max_age) {
+            return true;
+        }
         let earlier = self.neighbours.iter().filter(|(name, other)| {
-            let answers = other.last_store_reply.is_some_and(|reply| now < reply + STORE_LIFETIME);
+            let answers = other.store_replies.get(&kind).is_some_and(|at| now < *at + max_age);
             **name < self.options.name && now < other.last_seen + HEARTBEAT_TIMEOUT && answers
         });
         earlier.count() < FOLLOWERS
     }
 
-    /// Applies an update from the store or another entry. Returns whether anything
+    /// Applies an update that the store has just sent. Returns whether anything
     /// changed.
     pub fn apply(&mut self, now: Duration, update: Update) -> bool {
         let changed = self.view.apply(now, update);
@@ -226,6 +241,13 @@
         changed
     }
 
+    /// Applies an update from another entry.
+    fn apply_relayed(&mut self, now: Duration, update: Update) {
+        if self.view.apply_relayed(now, update) {
+            self.refresh_members(now);
+        }
+    }
+
     fn refresh_members(&mut self, now: Duration) {
         let servers = self.view.servers(now);
         for start in self.suspects.unconfirmed() {
@@ -407,6 +429,10 @@
         let synced_ms = |kind: &Kind| self.synced_age(now, *kind).map(|age| age.as_millis());
         let synced: BTreeMap<_, _> =
             Kind::ALL.iter().map(|kind| (format!("{kind:?}"), synced_ms(kind))).collect();
+        let follows: BTreeMap<_, _> = Kind::ALL
+            .iter()
+            .map(|kind| (format!("{kind:?}"), self.follows_store(now, *kind)))
+            .collect();
         let pool = |(name, pace): (&Name, &Pace)| {
             let shown = serde_json::json!({
                 "gap_ms": pace.mean_gap().as_millis() as u64, "share": pace.share(now),
@@ -422,7 +448,7 @@
             "config_version": self.config().map(|config| config.version),
             "positions": positions,
             "synced_ms": synced,
-            "follows_store": self.follows_store(now),
+            "follows_store": follows,
             "zones_out": self.view.zones_out(now),
             "holds": self.view.hold_reports(now),
             "suspects": self.suspects.report(now, Scope::All),
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -5,9 +5,9 @@
 
 use tables::{Name, Position};
 
-use super::{Balancer, Lag, Neighbour, PEER_LIFETIME, STORE_LIFETIME};
+use super::{Balancer, Lag, Neighbour, OUTAGE_MIN, PEER_LIFETIME};
 use crate::content::{Kind, Peer};
-use crate::gossip::{Heartbeat, Message, Work};
+use crate::gossip::{Heartbeat, Message, Replica, Work};
 use crate::slow::Slowness;
 use crate::suspect::Scope;
 use crate::view::Update;
@@ -48,24 +48,28 @@
         if *from == self.options.name || !self.is_current(from, incarnation) {
             return Vec::new();
         }
-        let last_store_reply = match &message {
-            Message::Heartbeat(heartbeat) => heartbeat
-                .store_age_ms
-                .map(|age| now.saturating_sub(Duration::from_millis(age.into()))),
-            _ => self.neighbours.get(from).and_then(|known| known.last_store_reply),
+        let known = self.neighbours.get(from);
+        let is_new = known.is_none_or(|known| known.incarnation < incarnation);
+        let store_replies: BTreeMap<Kind, Duration> = match &message {
+            Message::Heartbeat(heartbeat) => {
+                let replicas = heartbeat.replicas.iter();
+                replicas
+                    .filter_map(|replica| Some((replica.kind, replica.answered_at(now)?)))
+                    .collect()
+            }
+            _ => known.map(|known| known.store_replies.clone()).unwrap_or_default(),
+        };
+        let lacks_store = |replies: &BTreeMap<Kind, Duration>| {
+            replies.values().max().is_none_or(|last| now > *last + OUTAGE_MIN)
         };
-        let is_stale =
-            |reply: Option<Duration>| reply.is_none_or(|reply| now > reply + STORE_LIFETIME);
-        let known = self.neighbours.get(from).map(|known| known.last_store_reply);
-        if known.is_some_and(is_stale)
-            && !is_stale(last_store_reply)
-            && is_stale(self.last_store_reply)
+        if known.is_some_and(|known| lacks_store(&known.store_replies))
+            && !lacks_store(&store_replies)
+            && lacks_store(&self.store_replies)
         {
             self.record_reconnect(now);
         }
-        let is_new = self.neighbours.get(from).is_none_or(|known| known.incarnation < incarnation);
         let neighbour =
-            Neighbour { link: link.clone(), last_seen: now, incarnation, last_store_reply };
+            Neighbour { link: link.clone(), last_seen: now, incarnation, store_replies };
         self.neighbours.insert(from.clone(), neighbour);
         match message {
             Message::Heartbeat(heartbeat) => {
@@ -83,7 +87,7 @@
                 vec![(link.clone(), Message::Rows(kind, era, delta))]
             }
             Message::Rows(kind, era, delta) => {
-                self.apply(now, Update::Changes { kind, era, delta });
+                self.apply_relayed(now, Update::Changes { kind, era, delta });
                 Vec::new()
             }
             // Handled above, since agents are not entries.
@@ -125,17 +129,18 @@
             self.view.apply_hold_report(now, report);
         }
         let version = self.config().map_or(0, |config| config.version);
-        let eras = heartbeat.positions.iter().map(|(_, position)| position.era);
+        let eras = heartbeat.replicas.iter().map(|replica| replica.position.era);
         self.peer_era = eras.fold(self.peer_era, u64::max);
         let era = self.era();
         let mut pulls = Vec::new();
-        for (kind, position) in heartbeat.positions {
-            if let Some(age) = heartbeat.store_age_ms
-                && position == self.view.position(kind)
+        for replica in heartbeat.replicas {
+            let Replica { kind, position, .. } = replica;
+            // A copy that is complete up to a later position has the same changes.
+            if let Some(answered_at) = replica.answered_at(now)
+                && position <= self.view.position(kind)
                 && position.era == era
             {
-                let age = Duration::from_millis(age.into());
-                self.view.record_synced(kind, now.saturating_sub(age));
+                self.view.record_synced(kind, answered_at);
             }
             // A restored store may hold an older configuration than the one in
             // force, at the same position.
@@ -162,7 +167,7 @@
             self.lags.remove(&kind);
             return false;
         }
-        let follows = self.follows_store(now);
+        let follows = self.follows_store(now, kind);
         let lag = self.lags.entry(kind).or_insert(Lag { since: now, pulled_at: None });
         let is_waiting = follows && self.view.is_known(kind) && now < lag.since + PULL_AFTER;
         if is_waiting || lag.pulled_at.is_some_and(|pulled_at| now < pulled_at + PULL_INTERVAL) {
@@ -186,6 +191,16 @@
         links
     }
 
+    /// The description of this entry's copy of a kind.
+    fn replica(&self, now: Duration, kind: Kind) -> Replica {
+        let age = self.store_replies.get(&kind).map(|at| now.saturating_sub(*at).as_millis());
+        Replica {
+            kind,
+            position: self.view.position(kind),
+            answered_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
+        }
+    }
+
     /// The heartbeat for the other entries.
     pub fn heartbeat(&self, now: Duration) -> Message {
         self.heartbeat_with(now, Scope::Due)
@@ -193,19 +208,17 @@
 
     /// A heartbeat with what `scope` says of suspected prompt parts.
     fn heartbeat_with(&self, now: Duration, scope: Scope) -> Message {
-        let positions = Kind::ALL.iter().map(|kind| (*kind, self.view.position(*kind))).collect();
+        let replicas = Kind::ALL.into_iter().map(|kind| self.replica(now, kind)).collect();
         let busy = self.members.iter().filter(|(_, member)| member.own.open > 0);
         let load = busy.map(|(name, member)| (name.clone(), member.own)).collect();
-        let age = self.last_store_reply.map(|reply| now.saturating_sub(reply).as_millis());
         Message::Heartbeat(Heartbeat {
-            positions,
+            replicas,
             config: self.config().map_or(0, |config| config.version),
             holds: self.view.hold_reports(now),
             load,
             crashes: self.crashes.report(),
             suspects: self.suspects.report(now, scope),
             departing: self.notices.leaving_starts(),
-            store_age_ms: age.map(|age| age.min(u128::from(u32::MAX)) as u32),
             leaving: self.leaving,
         })
     }
--- a/components/balance/src/gossip.rs
+++ b/components/balance/src/gossip.rs
@@ -1,6 +1,8 @@
 //! Messages between entries: their positions in the store, their load on each
 //! backend server and the requests that crashed backend servers.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use tables::{Name, Position};
 
@@ -28,8 +30,8 @@
 /// Summary of an entry's state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Position of the entry's copy of each kind.
-    pub positions: Vec<(Kind, Position)>,
+    /// The entry's copy of each kind.
+    pub replicas: Vec<Replica>,
     /// Version of the configuration in force; a restored store may have an
     /// older one.
     pub config: u64,
@@ -44,13 +46,38 @@
     pub suspects: suspect::Report,
     /// Backend servers that announced their shutdown.
     pub departing: Vec<Start>,
-    /// Time since the store last answered the entry, in milliseconds; `None` if
-    /// it never did.
-    pub store_age_ms: Option<u32>,
     /// Whether the entry is shutting down.
     pub leaving: bool,
 }
 
+/// An entry's copy of one kind of object.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Kind of the objects.
+    pub kind: Kind,
+    /// Position of the copy.
+    pub position: Position,
+    /// Time since the store last answered a call of the entry for this kind, in
+    /// milliseconds; `None` if it never did.
+    pub answered_ms: Option<u32>,
+}
+
+impl Replica {
+    /// Time of the store's last answer, given the time at which the message arrived.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use balance::{content::Kind, gossip::Replica};
+    /// let position = tables::Position { era: 1, revision: 7 };
+    /// let replica = Replica { kind: Kind::Config, position, answered_ms: Some(200) };
+    /// assert_eq!(replica.answered_at(Duration::from_secs(1)), Some(Duration::from_millis(800)));
+    /// ```
+    pub fn answered_at(&self, now: Duration) -> Option<Duration> {
+        let age = Duration::from_millis(self.answered_ms?.into());
+        Some(now.saturating_sub(age))
+    }
+}
+
 /// Open work at a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Work {
--- a/components/balance/src/view.rs
+++ b/components/balance/src/view.rs
@@ -57,6 +57,19 @@
 }
 
 impl Update {
+    fn kind(&self) -> Kind {
+        let (Update::Listing { kind, .. } | Update::Changes { kind, .. }) = self;
+        *kind
+    }
+
+    /// Position up to which the rows are complete.
+    fn position(&self) -> Position {
+        match self {
+            Update::Listing { position, .. } => *position,
+            Update::Changes { era, delta, .. } => Position { era: *era, revision: delta.revision },
+        }
+    }
+
     fn rows(&self) -> &[(Name, Row<Content>)] {
         let (Update::Listing { rows, .. } | Update::Changes { delta: Delta { rows, .. }, .. }) =
             self;
@@ -147,8 +160,21 @@
         self.reconnected_at = Some(now);
     }
 
-    /// Applies an update. Returns whether anything changed.
+    /// Applies an update that the store has just sent. Returns whether anything
+    /// changed.
     pub fn apply(&mut self, now: Duration, update: Update) -> bool {
+        let (kind, position) = (update.kind(), update.position());
+        let changed = self.apply_relayed(now, update);
+        // An answer older than the copy doesn't show that the copy is current.
+        if position == self.position(kind) {
+            self.record_synced(kind, now);
+        }
+        changed
+    }
+
+    /// Applies an update that another entry sent. Returns whether anything changed.
+    /// How current the rows are follows from that entry's heartbeats.
+    pub fn apply_relayed(&mut self, now: Duration, update: Update) -> bool {
         let (kind, era, is_complete) = match &update {
             Update::Listing { kind, position, .. } => (*kind, position.era, true),
             Update::Changes { kind, era, delta } => (*kind, *era, delta.since == 0),
@@ -168,9 +194,6 @@
             _ => self.advance(now, kind, era, update),
         };
         self.preserve_config(config);
-        if era == self.position(kind).era {
-            self.record_synced(kind, now);
-        }
         let version_changed = self.config().map(|config| config.version) != version;
         changed || version_changed || self.retained.len() != retained
     }
--- a/components/balance/tests/gossip.rs
+++ b/components/balance/tests/gossip.rs
@@ -5,8 +5,10 @@
 
 use balance::Balancer;
 use balance::content::Kind;
-use balance::gossip::Message;
-use common::{blank, config, configured, listing, ms, ready, sent, server, submission};
+use balance::gossip::{Heartbeat, Message, Replica};
+use common::{
+    at, blank, config, configured, listing, ms, ready, sent, server, submission, zones_out,
+};
 use tables::{Name, Position};
 
 /// Delivers a heartbeat of `from` to `to`, then the resulting pulls and rows.
@@ -73,41 +75,91 @@
 
 #[test]
 fn follows_store_first_two_in_order() {
+    let mut entry = informed_entry(&["entry-1", "entry-2"]);
+    assert!(!entry.follows_store(ms(20), Kind::Config));
+    // Neither has sent a heartbeat for a second.
+    assert!(entry.follows_store(ms(1000), Kind::Config));
+    // One entry alone is not enough.
+    entry = informed_entry(&["entry-1"]);
+    assert!(entry.follows_store(ms(20), Kind::Config));
+}
+
+/// An entry with a configuration and servers that got a heartbeat of each of `others`,
+/// to which the store has just answered.
+fn informed_entry(others: &[&str]) -> Balancer {
     let mut entry = blank("entry-3");
     entry.apply(ms(0), configured(2, config(1)));
     entry.apply(ms(0), listing(3, &[]));
-    assert!(entry.follows_store(ms(0)));
-    for name in ["entry-1", "entry-2"] {
-        let mut other = blank(name);
-        other.record_store_reply(ms(0));
-        entry.handle(
-            ms(10),
-            &name.into(),
-            1,
-            &format!("tcp://{name}").into(),
-            other.heartbeat(ms(10)),
-        );
+    entry.apply(ms(0), zones_out(3, &[]));
+    for name in others {
+        let heartbeat = replicas([Some(0); 3], 2);
+        entry.handle(ms(10), &(*name).into(), 1, &format!("tcp://{name}").into(), heartbeat);
+    }
+    entry
+}
+
+/// A heartbeat of an entry whose copies are at `revision`, with the age of the store's
+/// last answer for each kind.
+fn replicas(answered_ms: [Option<u32>; 3], revision: u64) -> Message {
+    let position = at(revision);
+    let replicas = Kind::ALL
+        .into_iter()
+        .zip(answered_ms)
+        .map(|(kind, answered_ms)| Replica { kind, position, answered_ms })
+        .collect();
+    Message::Heartbeat(Heartbeat { replicas, ..Heartbeat::default() })
+}
+
+/// Heartbeats arrive, but the rows that they announce don't.
+#[test]
+fn follows_store_while_others_only_announce_changes() {
+    let mut entry = informed_entry(&["entry-1", "entry-2"]);
+    for now in (100..3000).step_by(100).map(ms) {
+        for name in ["entry-1", "entry-2"] {
+            let heartbeat = replicas([Some(0); 3], 90);
+            entry.handle(now, &name.into(), 1, &format!("tcp://{name}").into(), heartbeat);
+        }
+        assert_eq!(entry.follows_store(now, Kind::Config), now >= ms(1410), "{now:?}");
+    }
+}
+
+/// The store answers the first entries, but not their calls for the configuration.
+#[test]
+fn follows_store_for_the_kind_that_it_does_not_answer() {
+    let mut entry = informed_entry(&["entry-1", "entry-2"]);
+    for now in (100..1500).step_by(100).map(ms) {
+        for name in ["entry-1", "entry-2"] {
+            let age = now.as_millis() as u32;
+            let heartbeat = replicas([Some(age), Some(0), Some(0)], 2);
+            entry.handle(now, &name.into(), 1, &format!("tcp://{name}").into(), heartbeat);
+        }
+    }
+    assert!(entry.follows_store(ms(1500), Kind::Config));
+    assert!(!entry.follows_store(ms(1500), Kind::Server));
+}
+
+/// Copies that others keep current need no calls of this entry.
+#[test]
+fn follows_store_not_while_others_keep_copies_current() {
+    let mut entry = informed_entry(&["entry-1", "entry-2"]);
+    for now in (100..9000).step_by(100).map(ms) {
+        for name in ["entry-1", "entry-2"] {
+            let age = now.as_millis() as u32 % 900;
+            let heartbeat = replicas([Some(age); 3], 2);
+            entry.handle(now, &name.into(), 1, &format!("tcp://{name}").into(), heartbeat);
+        }
+        assert!(Kind::ALL.into_iter().all(|kind| !entry.follows_store(now, kind)), "{now:?}");
     }
-    assert!(!entry.follows_store(ms(20)));
-    // Neither has sent a heartbeat for 2 s.
-    assert!(entry.follows_store(ms(2000)));
 }
 
 #[test]
 fn follows_store_while_nothing_is_known() {
     let mut entry = blank("entry-3");
     for name in ["entry-1", "entry-2"] {
-        let mut other = blank(name);
-        other.record_store_reply(ms(0));
-        entry.handle(
-            ms(0),
-            &name.into(),
-            1,
-            &format!("tcp://{name}").into(),
-            other.heartbeat(ms(0)),
-        );
+        let heartbeat = replicas([Some(0); 3], 2);
+        entry.handle(ms(0), &name.into(), 1, &format!("tcp://{name}").into(), heartbeat);
     }
-    assert!(entry.follows_store(ms(0)));
+    assert!(entry.follows_store(ms(0), Kind::Config));
 }
 
 #[test]
@@ -136,10 +188,10 @@
     let mut balancer = ready(&[("d1", server("web", "a", 1))]);
     let name = Name::from("entry-0");
     let link = Name::from("tcp://x");
-    follower.record_store_reply(ms(0));
+    follower.record_store_reply(ms(0), Kind::Server);
     balancer.handle(ms(0), &name, 1, &link, follower.heartbeat(ms(0)));
     balancer.handle(ms(6000), &name, 1, &link, follower.heartbeat(ms(6000)));
-    follower.record_store_reply(ms(6100));
+    follower.record_store_reply(ms(6100), Kind::Server);
     balancer.handle(ms(6100), &name, 1, &link, follower.heartbeat(ms(6100)));
     balancer.apply(ms(6150), listing(20, &[]));
     assert_eq!(sent(&mut balancer, ms(6200), "/safe/scan").1, "d1");
--- a/components/balance/tests/restore.rs
+++ b/components/balance/tests/restore.rs
@@ -192,7 +192,7 @@
     // keep exchanging heartbeats.
     for step in 0..300 {
         let now = ms(5000 + step * 100);
-        known.record_store_reply(now);
+        known.record_store_reply(now, Kind::Zone);
         known.apply(now, restored(zones_out(10, &[])));
         fresh.apply(now, restored(zones_out(10, &[])));
         exchange(&mut known, &mut fresh, 5000 + step * 100);
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -34,10 +34,14 @@
         if changed == current {
             continue;
         }
-        let needs_restart =
-            Settings { limits: current.limits, seeds: current.seeds.clone(), ..changed.clone() }
-                != current;
-        shared.balancer().set_limits(changed.limits);
+        let unchanged = Settings {
+            limits: current.limits,
+            freshness: current.freshness,
+            seeds: current.seeds.clone(),
+            ..changed.clone()
+        };
+        let needs_restart = unchanged != current;
+        shared.balancer().set_limits(changed.limits, changed.freshness);
         log::info!(target: "settings", needs_restart = needs_restart; "settings taken over");
         current = changed;
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -56,6 +56,7 @@
         seeds: settings.seed_links(),
         limits: settings.limits,
         holds: settings.holds,
+        freshness: settings.freshness,
         seed: incarnation,
     });
     let self_description = balancer.self_description();
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -36,6 +36,9 @@
     /// Retention of state that a restored store has lost.
     #[serde(default)]
     pub holds: balance::hold::Bounds,
+    /// Times within which changes in the store must take effect.
+    #[serde(default)]
+    pub freshness: balance::freshness::Bounds,
     /// Memory that the process may use, in MiB.
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
@@ -56,6 +59,10 @@
 /// Valid range of the grace period, in milliseconds.
 const GRACE_BOUNDS: std::ops::RangeInclusive<f64> = 1_000.0..=600_000.0;
 
+/// Valid range of the time within which a change in the store must take effect, in
+/// milliseconds.
+const FRESHNESS_BOUNDS: std::ops::RangeInclusive<f64> = 100.0..=3_600_000.0;
+
 impl Check for Settings {
     fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -82,6 +89,18 @@
             self.grace.as_secs_f64() * 1e3,
             GRACE_BOUNDS,
         ));
+        let freshness = [
+            ("/freshness/config_ms", self.freshness.config),
+            ("/freshness/server_ms", self.freshness.server),
+            ("/freshness/zone_ms", self.freshness.zone),
+        ];
+        for (pointer, limit) in freshness {
+            faults.extend(Fault::out_of_range(
+                pointer,
+                limit.as_secs_f64() * 1e3,
+                FRESHNESS_BOUNDS,
+            ));
+        }
         faults.extend(Fault::out_of_range("/memory_mb", self.memory_mb as f64, MEMORY_BOUNDS));
         faults.extend(Fault::out_of_range(
             "/limits/retry_ratio",
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -12,10 +12,6 @@
 
 use crate::shared::Shared;
 
-/// Long-poll timeout of a watch. Also bounds the time to detect a dead connection,
-/// so it must be shorter than the time allowed to apply a new configuration.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1900);
-
 /// Minimum interval between calls for the same kind, which batches changes.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -42,8 +38,9 @@
         poller.observe_era(era);
         let call = poller.call();
         let started = Instant::now();
+        let watch_timeout = shared.balancer().watch_timeout(kind);
         let result = tokio::select! {
-            result = call_store(&store, kind, call) => result,
+            result = call_store(&store, kind, call, watch_timeout) => result,
             // A watch of an earlier era never returns changes.
             _ = store.wait_for_later_era(era), if call != Call::List => continue,
         };
@@ -74,7 +71,7 @@
     if let Some(age) = balancer.synced_age(now, kind) {
         shared.meter.record_synced_age(kind, age);
     }
-    balancer.follows_store(now)
+    balancer.follows_store(now, kind)
 }
 
 /// Logs where changes of a kind come from from now on.
@@ -87,10 +84,15 @@
         "source of changes");
 }
 
-async fn call_store(store: &Store, kind: Kind, call: Call) -> Result<Listed, Error> {
+async fn call_store(
+    store: &Store,
+    kind: Kind,
+    call: Call,
+    watch_timeout: Duration,
+) -> Result<Listed, Error> {
     match call {
         Call::List => store.list(kind).await,
-        Call::Watch(since) => store.watch(kind, since.revision, WATCH_TIMEOUT).await,
+        Call::Watch(since) => store.watch(kind, since.revision, watch_timeout).await,
     }
 }
 
@@ -116,7 +118,7 @@
         }
         Transition::None | Transition::Lost => {}
     }
-    shared.balancer().record_store_reply(now);
+    shared.balancer().record_store_reply(now, kind);
     apply_page(shared, kind, call, listed);
 }
 
--- a/components/gateway/tests/restore_world/mod.rs
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -302,10 +302,10 @@
         for pending_call in due {
             handle_response(entry, now, pending_call);
         }
-        if !entry.balancer.follows_store(now) {
-            return;
-        }
         for kind in 0..Kind::ALL.len() {
+            if !entry.balancer.follows_store(now, Kind::ALL[kind]) {
+                continue;
+            }
             let busy = entry.pending_calls.iter().any(|pending_call| pending_call.kind == kind);
             if busy || now < entry.next_call_at[kind] {
                 continue;
@@ -437,6 +437,7 @@
             retry_window: Duration::from_secs(10),
         },
         holds: balance::hold::Bounds::default(),
+        freshness: balance::freshness::Bounds::default(),
         seed,
     };
     Entry {
@@ -474,7 +475,7 @@
     if transition == Transition::Restored {
         return;
     }
-    entry.balancer.record_store_reply(now);
+    entry.balancer.record_store_reply(now, Kind::ALL[kind]);
     if transition == Transition::Recovered {
         entry.balancer.record_reconnect(now);
     }
