A process restarted after its clock was set back is heard again

Cause: incarnations come from the time of day, and a frame of a lower one was ignored for good. A host whose clock was ahead at an earlier start (the time of day may jump) starts its next process with a lower incarnation. The class: an order taken from a clock that may go back.

Fix: a lower incarnation is ignored only while the known process is alive: 0.7 s after its last heartbeat between entries (they come each 100 ms), 3 s without a reply for an agent (the time after which it counts as lost). Attempts at any other incarnation of the agent fail as possibly run.

Not changed: a leader of the product's own rank groups ignores a lower session of a rank's agent (group/leader.rs); by reading only, not run.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -47,7 +47,7 @@
 const OUTAGE_MIN: Duration = Duration::from_millis(2800);
 
 /// Time since the last message of an entry after which it no longer counts as a
-/// follower of the store.
+/// follower of the store, or as the current process of its host.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Interval between two heartbeats.
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -5,7 +5,7 @@
 
 use tables::{Name, Position};
 
-use super::{Balancer, Lag, Neighbour, OUTAGE_MIN, PEER_LIFETIME};
+use super::{Balancer, HEARTBEAT_TIMEOUT, Lag, Neighbour, OUTAGE_MIN, PEER_LIFETIME};
 use crate::content::{Kind, Peer};
 use crate::gossip::{Heartbeat, Message, Replica, Work};
 use crate::slow::Slowness;
@@ -45,11 +45,11 @@
             self.apply_slowness(now, slowness);
             return Vec::new();
         }
-        if *from == self.options.name || !self.is_current(from, incarnation) {
+        if *from == self.options.name || !self.is_current(now, from, incarnation) {
             return Vec::new();
         }
         let known = self.neighbours.get(from);
-        let is_new = known.is_none_or(|known| known.incarnation < incarnation);
+        let is_new = known.is_none_or(|known| known.incarnation != incarnation);
         let store_replies: BTreeMap<Kind, Duration> = match &message {
             Message::Heartbeat(heartbeat) => {
                 let replicas = heartbeat.replicas.iter();
@@ -101,9 +101,13 @@
         self.slow.apply(now, slowness)
     }
 
-    /// Whether a message comes from the latest known process of an entry's host.
-    fn is_current(&self, from: &Name, incarnation: u64) -> bool {
-        self.neighbours.get(from).is_none_or(|known| incarnation >= known.incarnation)
+    /// Whether a message comes from the current process of an entry's host. A later
+    /// process may have a lower incarnation if the host's clock was set back; the
+    /// earlier one is silent then.
+    fn is_current(&self, now: Duration, from: &Name, incarnation: u64) -> bool {
+        self.neighbours.get(from).is_none_or(|known| {
+            incarnation >= known.incarnation || now >= known.last_seen + HEARTBEAT_TIMEOUT
+        })
     }
 
     fn apply_heartbeat(
--- a/components/balance/tests/gossip.rs
+++ b/components/balance/tests/gossip.rs
@@ -152,6 +152,19 @@
     }
 }
 
+/// A host's clock was ahead when its earlier process started.
+#[test]
+fn handle_process_restarted_after_its_clock_was_set_back() {
+    let mut entry = blank("entry-1");
+    let other = Name::from("entry-2");
+    let link = Name::from("tcp://x");
+    let pull = || Message::Pull(Kind::Config, Position::default());
+    assert_eq!(entry.handle(ms(0), &other, 5, &link, pull()).len(), 1);
+    assert!(entry.handle(ms(600), &other, 4, &link, pull()).is_empty());
+    assert_eq!(entry.handle(ms(800), &other, 4, &link, pull()).len(), 1);
+    assert_eq!(entry.handle(ms(900), &other, 4, &link, pull()).len(), 1);
+}
+
 #[test]
 fn follows_store_while_nothing_is_known() {
     let mut entry = blank("entry-3");
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -103,10 +103,13 @@
     /// `None` for a frame of an earlier incarnation, which must be ignored.
     pub fn record_frame(&mut self, now: Duration, sender: &Sender) -> Option<bool> {
         let Some(member) = self.members.get_mut(&sender.name) else { return Some(false) };
-        if sender.incarnation < member.incarnation {
+        // A later process may have a lower incarnation if the host's clock was set back;
+        // the earlier one is silent then.
+        let is_lost = member.last_frame.is_none_or(|last| now >= last + REPLY_TIMEOUT);
+        if sender.incarnation < member.incarnation && !is_lost {
             return None;
         }
-        let restarted = member.incarnation != 0 && sender.incarnation > member.incarnation;
+        let restarted = member.incarnation != 0 && sender.incarnation != member.incarnation;
         member.incarnation = sender.incarnation;
         member.last_frame = Some(now);
         member.awaiting_reply_since = None;
--- a/components/routing/src/router/retry.rs
+++ b/components/routing/src/router/retry.rs
@@ -159,7 +159,7 @@
         outputs.push(Output::Answer(id, Part::Problem(problem)));
     }
 
-    /// Fails the attempts sent to earlier incarnations of a restarted agent.
+    /// Fails the attempts sent to other incarnations of a restarted agent.
     pub(super) fn fail_restarted(
         &mut self,
         now: Duration,
@@ -168,7 +168,7 @@
     ) {
         let lost = |request: &Request| {
             request.attempt.as_ref().is_some_and(|attempt| {
-                attempt.server == sender.name && attempt.incarnation < sender.incarnation
+                attempt.server == sender.name && attempt.incarnation != sender.incarnation
             })
         };
         self.fail_unreachable(now, lost, outputs);
--- a/components/routing/tests/router.rs
+++ b/components/routing/tests/router.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use routing::members::REPLY_TIMEOUT;
 use routing::problem::{Code, Problem};
 use routing::{Input, Options, Output, Part, Router, Submission};
 use rstest::rstest;
@@ -277,6 +278,20 @@
     assert_eq!(router.open(), 1);
 }
 
+/// The clock of an agent's host was ahead when its earlier process started.
+#[test]
+fn receive_agent_restarted_after_its_clock_was_set_back() {
+    let mut router = router(&["m1"]);
+    let (server, _) = sent(&submit(&mut router, 1, "/book")).unwrap();
+    let later = NOW + REPLY_TIMEOUT;
+    let report = || Message::Report(Report::default());
+    let outputs = receive(&mut router, later, &server, INCARNATION - 1, report());
+    // The earlier process may have run the booking.
+    assert_eq!(problem(&outputs).unwrap().execution, Execution::MayHaveRun);
+    let outputs = router.step(later, Input::Submit(request(2, "/book")));
+    assert_eq!(sent(&outputs).unwrap().1.incarnation, INCARNATION - 1);
+}
+
 #[rstest]
 #[case::broken(Reason::Broken)]
 #[case::crashed(Reason::Crashed)]
