A watch whose answer can't be used is replaced by a listing

What callers saw: after a burst of large versions an entry read none of them, nor any later one; a revoked key stayed in use for good.

Cause: a failed watch was repeated from the same revision. When its answer is above the limit of 8 MiB, can't be decoded, or takes longer than the call, so will the next: it holds all versions since that revision. Only a 410 led to a listing. The class: a retry of a call that can't succeed.

Fix: an answer above the limit is an error of its own (Oversized; it counted as unreachable), and after it, after one that can't be decoded, and after two watches without a complete answer, the next call lists: a listing has only the newest state, in pages. Refused calls (503, 429, no connection) keep the watch, so that an outage doesn't end in a listing by the whole fleet. The product's own watch (components/platform/watch.rs) lists again after answers above the limit or malformed ones.

Evidence: `lost` without `regained` in the log while other kinds are read. Unit tests that fail before: `fail_lists_again`, `fail_unanswered_twice_lists_again`, `step_unusable_watch_lists_again`.

--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -52,15 +52,16 @@
             Err(error) => {
                 shared.meter.store_failures.add(1);
                 let (transition, wait) = poller.fail(&error);
+                if poller.call() == Call::List && call != Call::List {
+                    log::info!(target: "store", kind:? = kind, error:% = error;
+                        "watch ended, listing again");
+                }
                 if transition == Transition::Lost {
                     log::warn!(target: "store", kind:? = kind, error:% = error; "lost");
                 }
                 actix_rt::time::sleep(wait).await;
             }
         }
-        if poller.call() == Call::List && call != Call::List {
-            log::info!(target: "store", kind:? = kind; "watch history expired, listing again");
-        }
     }
 }
 
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Method;
 use awc::http::header::{CONTENT_TYPE, HeaderValue, IF_MATCH, RETRY_AFTER};
 use serde_json::Value;
@@ -74,7 +74,7 @@
         Client { era_header: Some(name), ..self }
     }
 
-    /// Limits the bodies of replies to `bytes`. A longer one counts as no reply.
+    /// Limits the bodies of replies to `bytes`. A longer one is discarded.
     pub fn with_body_limit(self, bytes: usize) -> Client {
         Client { body_limit: bytes, ..self }
     }
@@ -158,10 +158,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unreachable`] if no reply came within the timeout. A reply with
-    /// an error status is returned as a reply.
+    /// [`Error::Unreachable`] if the call was not sent, [`Error::Unknown`] if no complete
+    /// reply came within the timeout, [`Error::Oversized`] if it exceeds the limit. A
+    /// reply with an error status is returned as a reply.
     pub async fn fetch(&self, path: String, timeout: Duration) -> Result<Reply, Error> {
-        self.read(path, timeout).await
+        let call = Call { method: Method::GET, path, expect: None, body: None, timeout };
+        self.send(&call).await
     }
 
     /// Sends a JSON body to any path of the service and returns the reply undecoded.
@@ -178,7 +180,10 @@
     async fn read(&self, path: String, timeout: Duration) -> Result<Reply, Error> {
         let call = Call { method: Method::GET, path, expect: None, body: None, timeout };
         // Reads have no effect, so the caller may always retry.
-        self.send(&call).await.map_err(|_| Error::Unreachable)
+        self.send(&call).await.map_err(|error| match error {
+            Error::Oversized { .. } => error,
+            _ => Error::Unreachable,
+        })
     }
 
     async fn write(
@@ -195,10 +200,11 @@
     /// Tries the URLs in turn, starting with the current one. A write stops at the
     /// first URL that it may have reached.
     async fn send(&self, call: &Call) -> Result<Reply, Error> {
+        let mut last = Err(Error::Unreachable);
         for _ in 0..self.urls.len() {
             let index = self.current.get() % self.urls.len();
             let result = self.send_to(&self.urls[index], call).await;
-            if result.is_ok() {
+            if matches!(result, Ok(_) | Err(Error::Oversized { .. })) {
                 return result;
             }
             self.current.set(index + 1);
@@ -206,8 +212,9 @@
             if !retryable {
                 return result;
             }
+            last = result;
         }
-        Err(Error::Unreachable)
+        last
     }
 
     async fn send_to(&self, url: &str, call: &Call) -> Result<Reply, Error> {
@@ -234,7 +241,10 @@
         let era = self.era_header.and_then(|name| response.headers().get(name));
         let era = era.and_then(|value| Some(value.to_str().ok()?.into()));
         let body = response.body().limit(self.body_limit).await;
-        let body = body.map_err(|_| Error::Unknown)?;
+        let body = body.map_err(|error| match error {
+            PayloadError::Overflow => Error::Oversized { limit: self.body_limit },
+            _ => Error::Unknown,
+        })?;
         Ok(Reply { status, retry_after, era, body })
     }
 }
--- a/components/platform/src/error.rs
+++ b/components/platform/src/error.rs
@@ -31,6 +31,13 @@
         /// Size of the value in bytes.
         size: usize,
     },
+    /// The reply exceeds the size limit and was discarded: a write may or may not have
+    /// taken effect.
+    #[error("the reply exceeds the limit of {limit} bytes")]
+    Oversized {
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// The platform no longer retains the changes since the given revision: a new
     /// listing is needed.
     #[error("the requested changes are no longer retained")]
@@ -49,6 +56,16 @@
 }
 
 impl Error {
+    /// Whether the same call would get the same unusable reply again.
+    ///
+    /// ```
+    /// assert!(platform::Error::Oversized { limit: 8 }.is_lasting());
+    /// assert!(!platform::Error::Unreachable.is_lasting());
+    /// ```
+    pub fn is_lasting(&self) -> bool {
+        matches!(self, Error::Oversized { .. } | Error::Malformed { .. })
+    }
+
     /// Whether a write that failed with this error certainly had no effect.
     ///
     /// ```
@@ -56,7 +73,7 @@
     /// assert!(!platform::Error::Unknown.is_without_effect());
     /// ```
     pub fn is_without_effect(&self) -> bool {
-        !matches!(self, Error::Unknown | Error::Outdated)
+        !matches!(self, Error::Unknown | Error::Outdated | Error::Oversized { .. })
     }
 }
 
--- a/components/platform/src/poller.rs
+++ b/components/platform/src/poller.rs
@@ -101,6 +101,12 @@
             return (Transition::None, Duration::ZERO);
         }
         self.failures += 1;
+        // The answer to the same watch only grows. A listing has nothing but the latest
+        // state.
+        let is_unanswered = *error == Error::Unknown && self.failures >= FAILURES_UNTIL_LOST;
+        if error.is_lasting() || is_unanswered {
+            self.current = None;
+        }
         let bound = (BACKOFF_MIN * (1 << self.failures.min(8))).min(BACKOFF_MAX);
         let mut wait = bound.mul_f64(self.rng.random_range(0.5..1.0));
         if let Error::Busy { retry_after } = error {
--- a/components/platform/src/watch.rs
+++ b/components/platform/src/watch.rs
@@ -291,7 +291,11 @@
     /// Records a failed call; no error stands for an outdated reply.
     fn fail_tables(&mut self, now: Duration, error: Option<Error>) {
         self.count_failure(error.is_none());
-        if error == Some(Error::Gone) {
+        let lists_again =
+            error.as_ref().is_some_and(|error| *error == Error::Gone || error.is_lasting());
+        // The answer to the same watch only grows. A listing has nothing but the latest
+        // state.
+        if lists_again {
             self.listed = false;
         }
         let backoff = self.backoff(self.tables.failures, error.as_ref());
--- a/components/platform/tests/poller.rs
+++ b/components/platform/tests/poller.rs
@@ -1,8 +1,9 @@
 //! Listings and watches across restores of the store.
 #![allow(clippy::unwrap_used)]
 
-use platform::Poller;
 use platform::poller::{Call, Transition};
+use platform::{Error, Poller};
+use rstest::rstest;
 use tables::Position;
 
 fn position(era: u64, revision: u64) -> Position {
@@ -40,3 +41,33 @@
     poller.succeed(poller.call(), position(1, 80));
     assert_eq!(poller.call(), Call::Watch(position(1, 90)));
 }
+
+/// A watch whose answer can't be used would get the same answer again.
+#[rstest]
+#[case::oversized(Error::Oversized { limit: 8 << 20 })]
+#[case::malformed(Error::Malformed { status: 200 })]
+#[case::gone(Error::Gone)]
+fn fail_lists_again(#[case] error: Error) {
+    let mut poller = listed_poller(1, 90);
+    poller.fail(&error);
+    assert_eq!(poller.call(), Call::List);
+}
+
+/// The answer to a watch may take longer than the call, each time.
+#[test]
+fn fail_unanswered_twice_lists_again() {
+    let mut poller = listed_poller(1, 90);
+    poller.fail(&Error::Unknown);
+    assert_eq!(poller.call(), Call::Watch(position(1, 90)));
+    poller.fail(&Error::Unknown);
+    assert_eq!(poller.call(), Call::List);
+}
+
+#[test]
+fn fail_unreachable_keeps_watching() {
+    let mut poller = listed_poller(1, 90);
+    for _ in 0..3 {
+        poller.fail(&Error::Unreachable);
+        assert_eq!(poller.call(), Call::Watch(position(1, 90)));
+    }
+}
--- a/components/platform/tests/watch.rs
+++ b/components/platform/tests/watch.rs
@@ -122,10 +122,15 @@
     assert_eq!(again, [Output::Watch { since: 10, wait: ms(20_000) }]);
 }
 
-#[test]
-fn step_gone_lists_again() {
+/// The changes are no longer retained, or the same watch would get the same unusable
+/// answer.
+#[rstest]
+#[case::gone(Error::Gone)]
+#[case::oversized(Error::Oversized { limit: 64 << 20 })]
+#[case::malformed(Error::Malformed { status: 200 })]
+fn step_unusable_watch_lists_again(#[case] error: Error) {
     let mut watch = waiting();
-    let mut outputs = watch.step(ms(100), Input::Changed(Err(Error::Gone)));
+    let mut outputs = watch.step(ms(100), Input::Changed(Err(error)));
     outputs.extend(watch.step(ms(100) + ms(500), Input::Tick));
     assert!(outputs.contains(&Output::List));
     assert_eq!(watched_since(&outputs), None);
