A call without a reply drops the idle connections of its client

What callers saw: after the open connections to the store went silent (new ones worked), a revoked key was accepted for 3.7 s; such a reset excuses 3 s.

Cause: the watch that got no answer was followed by a call on another idle connection of the pool, as silent as the first, with a timeout of its own. The class: a retry that may take the same broken path.

Fix: after a call without a reply the client starts with an empty pool, so that the next call of any kind opens a connection. Calls in flight keep theirs.

--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for single calls to the platform.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,7 +31,8 @@
 /// ```
 #[derive(Clone)]
 pub struct Client {
-    http: awc::Client,
+    /// Replaced after a call without a reply, see [`Client::send_to`].
+    http: Rc<RefCell<awc::Client>>,
     urls: Rc<[Name]>,
     current: Rc<Cell<usize>>,
     timeout: Duration,
@@ -50,17 +51,8 @@
 impl Client {
     /// Creates a client that waits at most `timeout` for the reply to each call.
     pub fn new(urls: Vec<Name>, timeout: Duration) -> Client {
-        // A connection attempt that takes half the timeout fails as unreachable:
-        // the call was never sent and may be retried.
-        let connector =
-            awc::Connector::new().timeout(timeout / 2).conn_keep_alive(KEEP_ALIVE).limit(0);
-        let http = awc::Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .disable_timeout()
-            .finish();
         Client {
-            http,
+            http: Rc::new(RefCell::new(new_http(timeout))),
             urls: urls.into(),
             current: Rc::default(),
             timeout,
@@ -219,12 +211,19 @@
 
     async fn send_to(&self, url: &str, call: &Call) -> Result<Reply, Error> {
         let exchange = self.exchange(url, call);
-        actix_rt::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Unknown))
+        let result = actix_rt::time::timeout(call.timeout, exchange).await;
+        let result = result.unwrap_or(Err(Error::Unknown));
+        if result == Err(Error::Unknown) {
+            // What silenced this connection may have silenced the idle ones as well. They
+            // are dropped, so that the next call opens a new one.
+            self.http.replace(new_http(self.timeout));
+        }
+        result
     }
 
     async fn exchange(&self, url: &str, call: &Call) -> Result<Reply, Error> {
         let url = format!("{}{}", url.trim_end_matches('/'), call.path);
-        let mut request = self.http.request(call.method.clone(), url);
+        let mut request = self.http.borrow().request(call.method.clone(), url);
         if let Some(expect) = call.expect {
             request = request.insert_header((IF_MATCH, expect.as_header()));
         }
@@ -249,6 +248,14 @@
     }
 }
 
+/// An HTTP client without connections.
+fn new_http(timeout: Duration) -> awc::Client {
+    // A connection attempt that takes half the timeout fails as unreachable: the call was
+    // never sent and may be retried.
+    let connector = awc::Connector::new().timeout(timeout / 2).conn_keep_alive(KEEP_ALIVE).limit(0);
+    awc::Client::builder().connector(connector).disable_redirects().disable_timeout().finish()
+}
+
 fn parse_seconds(value: &HeaderValue) -> Option<Duration> {
     let seconds = value.to_str().ok()?.parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
