Callers' limits come from the configuration in force

What callers saw: proper requests rejected: 431 for more than 96 header fields or a head above 128 KiB although the limits allowed them, 408 for a head that was slow within the limit or came on a connection that had been open for a while, 413 before the first configuration where 503 is due. Of the limits of a configuration only that on bodies had an effect.

Cause: actix-http's constants and its head timer, which starts when a connection is accepted, idle time included (this explains the 408 after a head of 1.2 s: the connection was 4.2 s old). The class: a library's default stands in for a setting.

Bodies above the limit are read to their end, so that the caller gets its 413. Rejected heads leave a log line and a count.

--- a/components/balance/src/config.rs
+++ b/components/balance/src/config.rs
@@ -139,10 +139,28 @@
 }
 
 /// Limits for requests of callers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// Maximum size of a request body, in bytes.
     pub body: usize,
+    /// Maximum size of a request head, in bytes.
+    pub head: usize,
+    /// Time from the first byte of a request head to its last.
+    pub head_time: Duration,
+    /// Time without a request after which a connection is closed.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    /// Generous limits, for callers whose limits are not known.
+    fn default() -> Limits {
+        Limits {
+            body: 4 << 20,
+            head: 64 << 10,
+            head_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(75),
+        }
+    }
 }
 
 /// Why a request could not be matched to a route and a client account.
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -1,48 +1,79 @@
 //! HTTP front end for callers.
 
+use std::pin::Pin;
 use std::rc::Rc;
 
-use actix_web::web::Payload;
-use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use balance::config::Limits;
 use balance::{Refusal, suspect};
-use bytes::BytesMut;
-use futures_util::StreamExt;
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use http::header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER};
 use http::response::Parts;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use listener::Rejection;
 
 use crate::relay::{Context, Relay, Reply};
 use crate::request::{Request, response_headers};
+use crate::shared::Shared;
 
-/// Limit on a request body until a configuration is known, in bytes.
-const DEFAULT_BODY_LIMIT: usize = 4 << 20;
+/// Largest part of a body that is read and discarded, so that its caller gets the
+/// response instead of a reset connection, in bytes.
+const DISCARD_LIMIT: usize = 64 << 20;
+
+/// Body of a response to a caller.
+pub type Body = Either<Full<Bytes>, StreamBody<Events>>;
+
+/// Events of a stream.
+pub type Events = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Aborted>>>>;
+
+/// The limits on requests in force.
+pub fn limits(shared: &Shared) -> listener::Limits {
+    let limits = shared.balancer().config().map_or_else(Limits::default, |config| config.limits);
+    let Limits { head, head_time, idle_time, .. } = limits;
+    listener::Limits { head, head_time, idle_time }
+}
+
+/// Records a request that the listener rejected.
+pub fn record_rejection(shared: &Shared, rejection: &Rejection) {
+    let status = rejection.status();
+    shared.meter.requests.add(1);
+    shared.meter.record_denial(status);
+    log::info!(target: "request", status = status, error:% = rejection; "head not taken");
+}
 
 /// Serves a request.
-pub async fn serve(context: Rc<Context>, request: HttpRequest, payload: Payload) -> HttpResponse {
+pub async fn serve(context: Rc<Context>, request: http::Request<Incoming>) -> Response<Body> {
     context.shared.meter.requests.add(1);
     let leaving = context.shared.is_leaving();
-    let mut response = respond(context, &request, payload).await;
+    let mut response = respond(context, request).await;
     if leaving {
-        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-async fn respond(context: Rc<Context>, request: &HttpRequest, payload: Payload) -> HttpResponse {
-    let Ok(mut parsed) = Request::read(request) else {
+async fn respond(context: Rc<Context>, request: http::Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let Ok(mut parsed) = Request::read(&head) else {
         context.shared.meter.record_denial(400);
         log::info!(target: "request", status = 400; "malformed head");
-        return HttpResponse::BadRequest().finish();
+        let mut response = empty_response(400);
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return response;
     };
-    let (config, limit) = match context.shared.balancer().config() {
-        Some(config) => (config.version, config.limits.body),
-        None => (0, DEFAULT_BODY_LIMIT),
-    };
-    match read_body(payload, limit).await {
+    let config = context.shared.balancer().config().map(|config| (config.version, config.limits));
+    // Without a configuration the request is refused, whatever its size.
+    let (version, limit) = config.map_or((0, 0), |(version, limits)| (version, limits.body));
+    match read_body(body, limit).await {
         Ok(body) => parsed.body = body,
+        Err(_) if config.is_none() => {}
         Err(status) => {
             context.shared.meter.record_denial(status);
-            log::info!(target: "request", id:% = parsed.id, status = status, limit = limit;
-                "body not taken");
-            return response_builder(status).force_close().finish();
+            log::info!(target: "request", id:% = parsed.id, status = status, limit = limit,
+                config = version; "body not taken");
+            return empty_response(status);
         }
     }
     let (id, parts) = (parsed.id.clone(), parsed.prompt_parts.clone());
@@ -51,7 +82,7 @@
         Err(refusal) => {
             context.shared.meter.refused.add(1);
             context.shared.meter.record_denial(refusal.status);
-            log::info!(target: "request", id:% = id, status = refusal.status, config = config,
+            log::info!(target: "request", id:% = id, status = refusal.status, config = version,
                 reason:% = refusal.reason, prompt:% = suspect::label(&parts),
                 retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
                 "refused");
@@ -59,13 +90,16 @@
         }
     };
     match Box::new(relay).run().await {
-        Reply::Complete(answer) => response_head(&answer.head).body(answer.body),
+        Reply::Complete(answer) => {
+            relayed_response(&answer.head, Either::Left(Full::new(answer.body)))
+        }
         Reply::Stream(parts, relay) => {
-            let events = futures_util::stream::unfold(relay, |mut relay| async move {
-                let events = relay.next().await?;
-                Some((events.map_err(Aborted), relay))
-            });
-            response_head(&parts).streaming(Box::pin(events))
+            let events: Events =
+                Box::pin(futures_util::stream::unfold(relay, |mut relay| async move {
+                    let events = relay.next().await?;
+                    Some((events.map(Frame::data).map_err(Aborted), relay))
+                }));
+            relayed_response(&parts, Either::Right(StreamBody::new(events)))
         }
         Reply::Refused(refusal) => refusal_response(&id, refusal),
     }
@@ -74,51 +108,67 @@
 /// A stream that cannot be completed; the caller's connection is aborted.
 #[derive(Debug, thiserror::Error)]
 #[error("the stream was cut: {}", .0.reason)]
-struct Aborted(Refusal);
+pub struct Aborted(Refusal);
 
-impl From<Aborted> for actix_web::Error {
-    fn from(aborted: Aborted) -> actix_web::Error {
-        actix_web::error::ErrorBadGateway(aborted.to_string())
+/// Reads a body. One that exceeds `limit` is read to its end, but not kept.
+///
+/// # Errors
+///
+/// The status that tells the caller.
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, u16> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > DISCARD_LIMIT.max(limit) {
+        return Err(413);
     }
-}
-
-async fn read_body(mut payload: Payload, limit: usize) -> Result<bytes::Bytes, u16> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| 400u16)?;
-        if body.len() + chunk.len() > limit {
+    let mut kept = BytesMut::new();
+    let mut size = 0_usize;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| 400_u16)?;
+        let Some(data) = frame.data_ref() else { continue };
+        size += data.len();
+        if size <= limit {
+            kept.extend_from_slice(data);
+        } else {
+            kept = BytesMut::new();
+        }
+        if size > DISCARD_LIMIT.max(limit) {
             return Err(413);
         }
-        body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    if size > limit { Err(413) } else { Ok(kept.freeze()) }
 }
 
-fn response_head(parts: &Parts) -> HttpResponseBuilder {
-    let mut builder = response_builder(parts.status.as_u16());
+/// The response of a backend server.
+fn relayed_response(parts: &Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
     for (name, value) in response_headers(&parts.headers) {
-        let name = actix_web::http::header::HeaderName::from_bytes(name.as_bytes());
-        let value = actix_web::http::header::HeaderValue::from_bytes(value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            builder.append_header((name, value));
-        }
+        response.headers_mut().append(name.clone(), value.clone());
     }
-    builder
+    response
 }
 
-fn response_builder(status: u16) -> HttpResponseBuilder {
-    let status = actix_web::http::StatusCode::from_u16(status);
-    HttpResponseBuilder::new(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY))
+/// The entry's own response without a body.
+fn empty_response(status: u16) -> Response<Body> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::new())));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response
 }
 
-/// Builds the entry's own response to a refused request.
-fn refusal_response(id: &str, refusal: Refusal) -> HttpResponse {
-    let mut builder = response_builder(refusal.status);
-    if !id.is_empty() {
-        builder.insert_header((adapter::header::REQUEST_ID, id));
+/// The entry's own response to a refused request.
+fn refusal_response(id: &str, refusal: Refusal) -> Response<Body> {
+    let mut response = empty_response(refusal.status);
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(id)
+        && !id.is_empty()
+    {
+        headers.insert(HeaderName::from_static(adapter::header::REQUEST_ID), id);
     }
-    if let Some(wait) = refusal.retry_after {
-        builder.insert_header(("retry-after", format!("{:.2}", wait.as_secs_f64())));
+    if let Some(wait) = refusal.retry_after
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.2}", wait.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, seconds);
     }
-    builder.body(refusal.reason.to_string())
+    *response.body_mut() = Either::Left(Full::new(refusal.reason.to_string().into()));
+    response
 }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use actix_web::HttpRequest;
 use adapter::header;
 use balance::{Target, Ticket};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::request::Parts;
 use http_body_util::Full;
 use tables::Name;
 use xxhash_rust::xxh3::Xxh3;
@@ -62,25 +62,26 @@
     ///
     /// # Errors
     ///
-    /// [`Malformed`] if the method, the target or a header cannot be forwarded, or
-    /// the `Host` header is missing.
-    pub fn read(request: &HttpRequest) -> Result<Request, Malformed> {
+    /// [`Malformed`] if the target cannot be forwarded, the `Host` header is missing or
+    /// the body is delimited in two ways.
+    pub fn read(head: &Parts) -> Result<Request, Malformed> {
         let header_value =
-            |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+            |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let fields = header::Request::read(header_value);
-        let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-        let method = http::Method::from_bytes(request.method().as_str().as_bytes());
+        if [CONTENT_LENGTH, TRANSFER_ENCODING].iter().all(|name| head.headers.contains_key(name)) {
+            return Err(Malformed);
+        }
         Ok(Request {
             id: fields.id.unwrap_or_default().into(),
-            method: method.map_err(|_| Malformed)?,
-            target: target.parse().map_err(|_| Malformed)?,
+            method: head.method.clone(),
+            target: head.uri.path_and_query().cloned().ok_or(Malformed)?,
             host: header_value("host").unwrap_or_default().into(),
             key: fields.key.map(Name::from),
             caller_timeout: fields.caller_timeout,
             prompt_tokens: fields.prompt_tokens,
             last_event: fields.last_event,
             prompt_parts: fields.prompt_parts,
-            headers: forwarded_headers(request)?,
+            headers: forwarded_headers(&head.headers)?,
             body: Bytes::new(),
         })
     }
@@ -132,26 +133,24 @@
     }
 }
 
-fn forwarded_headers(request: &HttpRequest) -> Result<HeaderMap, Malformed> {
-    let connection_options: Vec<String> = request
-        .headers()
+fn forwarded_headers(all: &HeaderMap) -> Result<HeaderMap, Malformed> {
+    let connection_options: Vec<String> = all
         .get_all("connection")
+        .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
         .collect();
     let mut headers = HeaderMap::new();
-    for (name, value) in request.headers() {
-        let name = name.as_str();
-        let reserved = header::RESERVED.contains(&name) || name == CONTENT_LENGTH.as_str();
+    for (name, value) in all {
+        let text = name.as_str();
+        let reserved = header::RESERVED.contains(&text) || name == CONTENT_LENGTH;
         if reserved
-            || HOP_BY_HOP.contains(&name)
-            || connection_options.iter().any(|other| other == name)
+            || HOP_BY_HOP.contains(&text)
+            || connection_options.iter().any(|other| other == text)
         {
             continue;
         }
-        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| Malformed)?;
-        let value = HeaderValue::from_bytes(value.as_bytes()).map_err(|_| Malformed)?;
-        headers.append(name, value);
+        headers.append(name, value.clone());
     }
     if !headers.contains_key(HOST) {
         return Err(Malformed);
@@ -160,10 +159,8 @@
 }
 
 /// Headers of a backend server's response that are forwarded to the caller.
-pub fn response_headers(headers: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
-    let end_to_end = |name: &str| !HOP_BY_HOP.contains(&name) && name != CONTENT_LENGTH.as_str();
+pub fn response_headers(headers: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     headers
         .iter()
-        .map(|(name, value)| (name.as_str(), value.as_bytes()))
-        .filter(move |(name, _)| end_to_end(name))
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()) && *name != CONTENT_LENGTH)
 }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,15 +1,15 @@
 //! Starts and stops the tasks and listeners of the entry.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix_web::dev::ServerHandle;
-use actix_web::web;
 use balance::content::Kind;
 use balance::{Balancer, Options};
-use daemon::Error;
+use daemon::{Error, ListenError};
+use listener::{Handler, Listener};
 use registry::Registration;
 use telemetry::Metrics;
 
@@ -33,10 +33,6 @@
 /// Interval between sweeps of idle connections to backend servers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Keep-alive timeout of callers' connections. Longer than the idle time that
-/// operators allow callers.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-
 /// Runs an entry until `stop` completes, then drains open requests.
 ///
 /// # Errors
@@ -65,7 +61,7 @@
     let store = registry::Store::new(settings.store);
     let (name, link) = (settings.name.clone(), settings.link_name());
     let frame_exchange = peers::start(shared.clone(), store.clone(), name, link)?;
-    let caller_listener = serve(&settings, &shared, metrics)?;
+    let callers = serve(&settings, &shared, metrics)?;
     actix_rt::spawn(frame_exchange);
     for (index, kind) in Kind::ALL.into_iter().enumerate() {
         let seed = incarnation.wrapping_add(index as u64);
@@ -83,23 +79,27 @@
     log::info!(target: "entry", name:% = settings.name, zone:% = settings.zone,
         listen:% = settings.listen, incarnation = incarnation; "started");
     stop.await;
-    drain(&settings, &shared, &caller_listener).await;
+    drain(&settings, &shared, &callers).await;
     log::info!(target: "entry", name:% = settings.name, open = shared.open_requests(); "stopped");
     log::logger().flush();
     Ok(())
 }
 
-fn serve(
-    settings: &Settings,
-    shared: &Arc<Shared>,
-    metrics: Metrics,
-) -> Result<ServerHandle, Error> {
-    let options = daemon::Options { keep_alive: CALLER_IDLE_TIMEOUT, half_closed: false };
-    let worker_shared = shared.clone();
-    let configure = move |config: &mut web::ServiceConfig| {
-        // Created on the worker thread, since connections cannot leave it.
-        let pool = connection::Pool::default();
-        let context = Rc::new(Context { shared: worker_shared.clone(), pool });
+fn serve(settings: &Settings, shared: &Arc<Shared>, metrics: Metrics) -> Result<Listener, Error> {
+    let callers = serve_callers(settings.listen, shared.clone())
+        .map_err(|source| ListenError { address: settings.listen, source })?;
+    let ready = operations::configure_ready(shared.clone());
+    daemon::serve(settings.ready, 1, settings.grace, ready)?;
+    let operations = operations::configure(shared.clone(), metrics);
+    daemon::serve(settings.operations, 1, settings.grace, operations)?;
+    Ok(callers)
+}
+
+/// Serves callers on a thread of its own, which also owns the connections to backend
+/// servers.
+fn serve_callers(address: SocketAddr, shared: Arc<Shared>) -> std::io::Result<Listener> {
+    Listener::start(address, move || {
+        let context = Rc::new(Context { shared, pool: connection::Pool::default() });
         let sweeper = context.clone();
         actix_rt::spawn(async move {
             loop {
@@ -107,28 +107,23 @@
                 sweeper.pool.sweep();
             }
         });
-        config.default_service(web::to(move |request, payload| {
-            front::serve(context.clone(), request, payload)
-        }));
-    };
-    let caller_listener =
-        daemon::serve_with(settings.listen, 1, settings.grace, options, configure)?;
-    let ready = operations::configure_ready(shared.clone());
-    daemon::serve(settings.ready, 1, settings.grace, ready)?;
-    let operations = operations::configure(shared.clone(), metrics);
-    daemon::serve(settings.operations, 1, settings.grace, operations)?;
-    Ok(caller_listener)
+        let (limited, recorded) = (context.shared.clone(), context.shared.clone());
+        Handler {
+            limits: move || front::limits(&limited),
+            on_rejection: move |rejection| front::record_rejection(&recorded, &rejection),
+            respond: move |request| front::serve(context.clone(), request),
+        }
+    })
 }
 
 /// Reports the entry as not ready and waits for open requests to complete.
-async fn drain(settings: &Settings, shared: &Shared, caller_listener: &ServerHandle) {
+async fn drain(settings: &Settings, shared: &Shared, callers: &Listener) {
     let started = Instant::now();
     shared.leave();
     log::info!(target: "entry", open = shared.open_requests(); "stopping");
     actix_rt::time::sleep(DRAIN_DELAY.min(settings.grace / 2)).await;
     // Closes idle connections, since later requests on them could not complete.
-    let stopping = caller_listener.stop(true);
-    actix_rt::spawn(stopping);
+    callers.stop();
     while shared.open_requests() > 0 && started.elapsed() + FORCED_STOP_MARGIN < settings.grace {
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/components/gateway/tests/restore_world/mod.rs
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -85,7 +85,7 @@
             format!("key-{version}").into(),
             Account { name: "benches".into(), priority: 1 },
         )]),
-        limits: Limits { body: 1000 },
+        limits: Limits { body: 1000, ..Limits::default() },
     }
 }
 
--- /dev/null
+++ b/components/listener/src/connection.rs
@@ -0,0 +1,217 @@
+//! Serves one connection.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::Poll;
+
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use hyper::server::conn::http1::{self, Builder};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::io::{self, State, Stream};
+use crate::{Handler, Limits, Phase, new_state};
+
+/// Least size of the buffer for a request head, in bytes. It is allocated as bytes
+/// arrive, and allows for limits that are raised while the connection is open.
+const HEAD_BUFFER_MIN: usize = 1 << 20;
+
+/// Bytes of the shortest header field with its delimiters.
+const FIELD_BYTES_MIN: usize = 4;
+
+/// Largest number of header fields: the capacity of `http::HeaderMap`.
+const FIELDS_MAX: usize = 24_000;
+
+/// Bytes of a request line and of a header field besides their parts.
+const REQUEST_LINE_EXTRA: usize = " / HTTP/1.1\r\n\r\n".len();
+const FIELD_EXTRA: usize = ": \r\n".len();
+
+/// A request that was rejected before its head was complete and valid.
+#[derive(Debug, thiserror::Error)]
+pub enum Rejection {
+    /// The head did not arrive in time.
+    #[error("the request head is incomplete after the time allowed")]
+    Late,
+    /// The head exceeds a limit.
+    #[error("the request head exceeds the limit of {limit} bytes")]
+    Large {
+        /// The limit in force, in bytes.
+        limit: usize,
+    },
+    /// The head is not valid HTTP/1.1.
+    #[error("the request head is malformed: {0}")]
+    Malformed(hyper::Error),
+}
+
+impl Rejection {
+    /// The HTTP status that tells the caller.
+    ///
+    /// ```
+    /// assert_eq!(listener::Rejection::Late.status(), 408);
+    /// ```
+    pub fn status(&self) -> u16 {
+        match self {
+            Rejection::Late => 408,
+            Rejection::Large { .. } => 431,
+            Rejection::Malformed(_) => 400,
+        }
+    }
+}
+
+/// How a connection ended.
+enum End {
+    /// By the caller, or after an error.
+    Closed(hyper::Result<()>),
+    /// Its phase lasted too long.
+    Expired(Phase),
+    /// The listener stops.
+    Stopped,
+}
+
+pub(crate) struct Connection<L, R, S> {
+    pub handler: Rc<Handler<L, R, S>>,
+    pub stopped: watch::Receiver<bool>,
+}
+
+impl<L, R, S, F, B> Connection<L, R, S>
+where
+    L: Fn() -> Limits + 'static,
+    R: Fn(Rejection) + 'static,
+    S: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Serves requests until either side closes the connection.
+    pub async fn serve(mut self, socket: TcpStream) {
+        // Fails if the caller has closed the connection.
+        let _ = socket.set_nodelay(true);
+        let state = new_state();
+        let stream = TokioIo::new(Stream { socket, state: state.clone() });
+        let (handler, limits) = (self.handler.clone(), (self.handler.limits)());
+        let served = state.clone();
+        let service = service_fn(move |request| {
+            served.set(Phase::Request);
+            respond(handler.clone(), served.clone(), limits, request)
+        });
+        let mut connection = builder(&limits).serve_connection(stream, service);
+        loop {
+            match self.run(&mut connection, &state).await {
+                End::Closed(Ok(())) => return,
+                End::Closed(Err(error)) => return self.report(error),
+                End::Expired(Phase::Head(_)) => {
+                    (self.handler.on_rejection)(Rejection::Late);
+                    return send_late(&connection.into_parts().io.into_inner().socket);
+                }
+                End::Stopped if !matches!(state.get(), Phase::Idle(_)) => {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+                End::Expired(_) | End::Stopped => return,
+            }
+        }
+    }
+
+    /// Polls the connection until it is closed, expires or, once, must stop.
+    async fn run<C>(&mut self, connection: &mut C, state: &State) -> End
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
+        let mut timer = pin!(sleep_until(Instant::now()));
+        let served = poll_fn(|cx| {
+            if let Poll::Ready(result) = Pin::new(&mut *connection).poll(cx) {
+                return Poll::Ready(End::Closed(result));
+            }
+            let phase = state.get();
+            let Some(expires) = phase.expires(&(self.handler.limits)()) else {
+                return Poll::Pending;
+            };
+            if timer.deadline() != expires {
+                timer.as_mut().reset(expires);
+            }
+            timer.as_mut().poll(cx).map(|()| End::Expired(phase))
+        });
+        tokio::select! {
+            end = served => end,
+            // Doesn't complete again after the value was seen.
+            Ok(()) = self.stopped.changed() => End::Stopped,
+        }
+    }
+
+    /// Reports a request that the connection rejected by itself.
+    fn report(&self, error: hyper::Error) {
+        if error.is_parse_too_large() {
+            let limit = (self.handler.limits)().head;
+            (self.handler.on_rejection)(Rejection::Large { limit });
+        } else if error.is_parse() {
+            (self.handler.on_rejection)(Rejection::Malformed(error));
+        }
+        // Other errors: the caller closed the connection, or a response was aborted.
+    }
+}
+
+fn builder(limits: &Limits) -> Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .max_buf_size(limits.head.max(HEAD_BUFFER_MIN))
+        .max_headers((limits.head / FIELD_BYTES_MIN).min(FIELDS_MAX))
+        // A caller that closes its sending side has left.
+        .half_close(false);
+    builder
+}
+
+async fn respond<L, R, S, F, B>(
+    handler: Rc<Handler<L, R, S>>,
+    state: State,
+    accepted_under: Limits,
+    request: Request<Incoming>,
+) -> Result<Response<io::Response<B>>, Infallible>
+where
+    L: Fn() -> Limits,
+    R: Fn(Rejection),
+    S: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body,
+{
+    let limit = (handler.limits)().head;
+    let mut response = if head_size(&request) > limit {
+        let rejection = Rejection::Large { limit };
+        let mut response = Response::new(None);
+        *response.status_mut() = StatusCode::from_u16(rejection.status()).unwrap_or_default();
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        (handler.on_rejection)(rejection);
+        response
+    } else {
+        (handler.respond)(request).await.map(Some)
+    };
+    if (handler.limits)().head > accepted_under.head {
+        // The next connection gets buffers for the raised limit.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| io::Response { body: body.map(Box::pin), state }))
+}
+
+/// Size of a request head, in bytes, with the shortest delimiters.
+fn head_size<B>(request: &Request<B>) -> usize {
+    let target = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let line = request.method().as_str().len() + target + REQUEST_LINE_EXTRA;
+    let field = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + FIELD_EXTRA
+    };
+    line + request.headers().iter().map(field).sum::<usize>()
+}
+
+/// Tells the caller that its request was not read and will not be.
+fn send_late(socket: &TcpStream) {
+    const RESPONSE: &[u8] =
+        b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    // Fails if the caller has closed the connection or doesn't read.
+    let _ = socket.try_write(RESPONSE);
+}
--- /dev/null
+++ b/components/listener/src/io.rs
@@ -0,0 +1,103 @@
+//! Streams and bodies that record the phase of their connection.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use http_body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::Phase;
+
+/// A connection's phase, shared by its stream and its responses.
+pub(crate) type State = Rc<Cell<Phase>>;
+
+/// A stream that records when bytes arrive.
+pub(crate) struct Stream {
+    pub socket: TcpStream,
+    pub state: State,
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.socket).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.state.set(self.state.get().receive(Instant::now()));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
+
+/// A response body. The connection is idle once it has been dropped.
+pub(crate) struct Response<B> {
+    pub body: Option<Pin<Box<B>>>,
+    pub state: State,
+}
+
+impl<B> Drop for Response<B> {
+    fn drop(&mut self) {
+        self.state.set(Phase::Idle(Instant::now()));
+    }
+}
+
+impl<B: Body> Body for Response<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        match &mut self.body {
+            Some(body) => body.as_mut().poll_frame(cx),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(|body| body.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.as_ref().map_or(SizeHint::with_exact(0), |body| body.size_hint())
+    }
+}
--- /dev/null
+++ b/components/listener/tests/listener.rs
@@ -0,0 +1,199 @@
+//! Connections to a listener whose limits change.
+#![allow(clippy::unwrap_used)]
+
+use std::convert::Infallible;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::Response;
+use listener::{Handler, Limits, Listener};
+use rstest::rstest;
+
+/// Limits that a test changes, and the statuses of rejected requests.
+#[derive(Default)]
+struct Shared {
+    head: AtomicUsize,
+    head_ms: AtomicU64,
+    idle_ms: AtomicU64,
+    rejected: Mutex<Vec<u16>>,
+}
+
+impl Shared {
+    fn new(head: usize, head_ms: u64, idle_ms: u64) -> Arc<Shared> {
+        let shared = Shared::default();
+        shared.head.store(head, Ordering::Relaxed);
+        shared.head_ms.store(head_ms, Ordering::Relaxed);
+        shared.idle_ms.store(idle_ms, Ordering::Relaxed);
+        Arc::new(shared)
+    }
+
+    fn limits(&self) -> Limits {
+        let millis = |value: &AtomicU64| Duration::from_millis(value.load(Ordering::Relaxed));
+        Limits {
+            head: self.head.load(Ordering::Relaxed),
+            head_time: millis(&self.head_ms),
+            idle_time: millis(&self.idle_ms),
+        }
+    }
+}
+
+/// A body of one piece.
+struct Text(Option<Bytes>);
+
+impl Body for Text {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        std::task::Poll::Ready(self.0.take().map(|data| Ok(Frame::data(data))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.as_ref().map_or(0, |data| data.len() as u64))
+    }
+}
+
+/// Starts a listener whose responses take `work`.
+fn start(shared: &Arc<Shared>, work: Duration) -> (Listener, SocketAddr) {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (limited, recorded) = (shared.clone(), shared.clone());
+    let listener = actix_rt::System::new().block_on(async move {
+        Listener::start(address, move || Handler {
+            limits: move || limited.limits(),
+            on_rejection: move |rejection: listener::Rejection| {
+                recorded.rejected.lock().unwrap().push(rejection.status());
+            },
+            respond: move |_| async move {
+                actix_rt::time::sleep(work).await;
+                Response::new(Text(Some(Bytes::from_static(b"ok"))))
+            },
+        })
+        .unwrap()
+    });
+    (listener, address)
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream
+}
+
+/// Reads until the response is complete or the connection is closed.
+fn read(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut chunk = [0; 1024];
+    while !text.ends_with(b"\r\n\r\nok") {
+        match stream.read(&mut chunk).unwrap() {
+            0 => break,
+            count => text.extend_from_slice(&chunk[..count]),
+        }
+    }
+    String::from_utf8(text).unwrap()
+}
+
+fn request(fields: usize) -> String {
+    let fields: String = (0..fields).map(|index| format!("x-{index}: a\r\n")).collect();
+    format!("GET / HTTP/1.1\r\nhost: x\r\n{fields}\r\n")
+}
+
+#[rstest]
+#[case::few(10, 16_384, "200")]
+#[case::many(1200, 16_384, "200")]
+#[case::too_large(1200, 8_000, "431")]
+fn serve_header_fields(#[case] fields: usize, #[case] limit: usize, #[case] status: &str) {
+    let shared = Shared::new(limit, 1000, 1000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    stream.write_all(request(fields).as_bytes()).unwrap();
+    let response = read(&mut stream);
+    assert!(response.starts_with(&format!("HTTP/1.1 {status}")), "{response}");
+    let rejected: Vec<u16> = if status == "431" { vec![431] } else { vec![] };
+    assert_eq!(*shared.rejected.lock().unwrap(), rejected);
+}
+
+/// A larger head than was allowed when the connection was opened.
+#[test]
+fn serve_head_up_to_limit_raised_meanwhile() {
+    let shared = Shared::new(1000, 1000, 1000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    stream.write_all(request(1).as_bytes()).unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
+    shared.head.store(500_000, Ordering::Relaxed);
+    let long = format!("GET / HTTP/1.1\r\nhost: x\r\nx: {}\r\n\r\n", "a".repeat(400_000));
+    stream.write_all(long.as_bytes()).unwrap();
+    let response = read(&mut stream);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+}
+
+/// A head that takes too long gets 408; the time that a connection was idle before
+/// doesn't count.
+#[test]
+fn serve_late_head() {
+    let shared = Shared::new(1000, 300, 5000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    std::thread::sleep(Duration::from_millis(600));
+    stream.write_all(b"GET / HTTP/1.1\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(150));
+    stream.write_all(b"host: x\r\n\r\n").unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
+    stream.write_all(b"GET / HTTP/1.1\r\n").unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 408"));
+    assert_eq!(*shared.rejected.lock().unwrap(), [408]);
+}
+
+#[test]
+fn serve_malformed_head() {
+    let shared = Shared::new(1000, 1000, 1000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost x\r\n\r\n").unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 400"));
+    assert_eq!(*shared.rejected.lock().unwrap(), [400]);
+}
+
+/// A response that takes longer than head and idle time isn't cut.
+#[test]
+fn serve_slow_response() {
+    let shared = Shared::new(1000, 100, 100);
+    let (listener, address) = start(&shared, Duration::from_millis(500));
+    let mut stream = connect(address);
+    stream.write_all(request(1).as_bytes()).unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
+    assert_eq!(read(&mut stream), "");
+    while listener.open() > 0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Idle connections are closed at once, the others after their response.
+#[test]
+fn stop_completes_responses() {
+    let shared = Shared::new(1000, 5000, 20_000);
+    let (listener, address) = start(&shared, Duration::from_millis(400));
+    let mut idle = connect(address);
+    let mut busy = connect(address);
+    busy.write_all(request(1).as_bytes()).unwrap();
+    while listener.open() < 2 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    let stopped = Instant::now();
+    listener.stop();
+    assert_eq!(read(&mut idle), "");
+    assert!(stopped.elapsed() < Duration::from_millis(300), "{:?}", stopped.elapsed());
+    assert!(read(&mut busy).starts_with("HTTP/1.1 200"));
+    assert_eq!(read(&mut busy), "");
+    assert!(TcpStream::connect(address).is_err());
+}
