An object that can't be decoded doesn't hide the others

Cause: a page of the store was decoded as one JSON value before each object was looked at. What that decoder can't represent anywhere in it (nested more than 128 deep, a number of 400 digits, an exponent of 99999, half of a surrogate pair, invalid UTF-8) failed the page, and so each next one. The class: a check of the whole where one part is foreign.

Fix: objects are cut out of the page undecoded (`RawValue`, which neither recurses nor converts) and decoded one by one; what fails counts as malformed, by name where its metadata can be read. A listing goes on from the last object's name, also if that object is malformed, and fails rather than ends early without progress. The same for the product's platform client: a value that can't be read is null there, which no row is, and not a deletion.

--- a/components/platform/src/object.rs
+++ b/components/platform/src/object.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
 use tables::{Host, Name};
 
 /// Maximum size of an object's value, in bytes of its JSON text.
@@ -16,10 +17,28 @@
     pub name: Name,
     /// The platform's revision at the last change; revisions are never reused.
     pub version: u64,
-    /// The value.
+    /// The value; null if it can't be read.
+    #[serde(deserialize_with = "readable_value")]
     pub value: Value,
 }
 
+/// Reads a value of which other writers decide. One that is nested too deeply or has
+/// numbers out of range counts as null, so that it doesn't hide the other objects.
+fn readable_value<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Value, D::Error> {
+    let raw = Box::<RawValue>::deserialize(deserializer)?;
+    Ok(to_value(&raw))
+}
+
+/// As [`readable_value`]; a value that is absent stays so.
+fn readable_change<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Value>, D::Error> {
+    let raw = Option::<Box<RawValue>>::deserialize(deserializer)?;
+    Ok(raw.map(|raw| to_value(&raw)))
+}
+
+fn to_value(raw: &RawValue) -> Value {
+    serde_json::from_str(raw.get()).unwrap_or_default()
+}
+
 /// Precondition of a write: the expected state of the object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Expect {
@@ -93,7 +112,8 @@
     pub name: Name,
     /// The revision of the change.
     pub version: u64,
-    /// The value; `None` if the object was deleted.
+    /// The value; `None` if the object was deleted, null if it can't be read.
+    #[serde(default, deserialize_with = "readable_change")]
     pub value: Option<Value>,
 }
 
--- a/components/platform/tests/reply.rs
+++ b/components/platform/tests/reply.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use platform::{Error, Object, Reply};
+use platform::{Changes, Error, Listing, Object, Reply};
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 
 fn reply(status: u16, body: &str) -> Reply {
     Reply { status, retry_after: None, era: None, body: body.to_owned().into() }
@@ -42,3 +42,24 @@
 fn object_status(#[case] status: u16, #[case] body: &str, #[case] result: Result<bool, Error>) {
     assert_eq!(reply(status, body).object().map(|object| object.is_some()), result);
 }
+
+/// A value of another writer that can't be read doesn't hide the other objects.
+#[rstest]
+#[case::nested(format!("{}{}", "[".repeat(300), "]".repeat(300)))]
+#[case::digits("9".repeat(400))]
+#[case::exponent("1e99999".to_owned())]
+fn read_beside_odd_value(#[case] odd: String) {
+    let object = |name: &str, value: &str| {
+        format!(r#"{{"name": "{name}", "kind": "zone", "version": 3, "value": {value}}}"#)
+    };
+    let objects = [object("a", "1"), object("b", &odd), object("c", "null")].join(",");
+    let listed = reply(200, &format!(r#"{{"revision": 7, "objects": [{objects}]}}"#));
+    let values: Vec<Value> =
+        listed.read::<Listing>().unwrap().objects.into_iter().map(|object| object.value).collect();
+    assert_eq!(values, [json!(1), Value::Null, Value::Null]);
+    let watched = reply(200, &format!(r#"{{"revision": 7, "changes": [{objects}]}}"#));
+    let changes = watched.read::<Changes>().unwrap().changes;
+    let values: Vec<Option<Value>> = changes.into_iter().map(|change| change.value).collect();
+    // Not taken for a deletion.
+    assert_eq!(values, [Some(json!(1)), Some(Value::Null), None]);
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -9,7 +9,7 @@
 use balance::content::Kind;
 use platform::{Client, Error, Method, Reply};
 use serde_json::Value;
-use tables::Position;
+use tables::{Name, Position};
 use tokio::sync::watch;
 
 pub use register::Registration;
@@ -101,12 +101,17 @@
         path: fn(Kind, Option<&str>) -> String,
     ) -> Result<Listed, Error> {
         let mut listing: Option<Listed> = None;
+        let mut last: Option<Name> = None;
         loop {
-            let last = listing.as_ref().and_then(|listed| listed.page.rows.last());
-            let path = path(kind, last.map(|(name, _)| name.as_str()));
+            let path = path(kind, last.as_deref());
             let (era, reply) = self.fetch(path, CALL_TIMEOUT).await?;
             let page = log_malformed(store::decode_listing(kind, reply.accept()?))?;
-            let more = page.more && !page.rows.is_empty();
+            // Without progress the listing would never end.
+            if page.more && (page.last.is_none() || page.last == last) {
+                return Err(Error::Malformed { status: 200 });
+            }
+            let more = page.more;
+            last = page.last.clone();
             match &mut listing {
                 // Pages from different eras don't form a consistent listing.
                 Some(listing) if listing.position.era != era => return Err(Error::Gone),
