A refusal is taken only for the request that it belongs to

Cause: a 421 counted as "another server, not run" before the id in it was compared, and a refusal without an id counted for whatever request waited. On a connection that has served other requests both may be an earlier request's. The class: a negative answer is believed without knowing to what.

Fix: the id is compared first, whatever the status; notices of leaving and backoff count only then. A refusal without an id counts on a new connection, where it can only be this request's; on a kept one the attempt may have run (`Outcome::Unattributed`): not repeated where it must not be, no 503, and not held against the server.

Elsewhere: answers to orders of ranks are only logged, the next report decides; by reading. The door of the product's agent reads refusals of engines from pooled connections without ids; not tried.

--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -117,7 +117,7 @@
         let Some(member) = self.members.get_mut(name) else { return };
         match outcome {
             Outcome::Misdirected => member.record_misdirected(),
-            Outcome::Refused | Outcome::DeadlineExceeded => {}
+            Outcome::Refused | Outcome::Unattributed | Outcome::DeadlineExceeded => {}
             Outcome::TimedOut if member.server.group.is_some() => {
                 // All ranks of a group stall together: not counted against one.
             }
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -109,6 +109,8 @@
     ConnectFailed,
     /// The server refused the request without executing it.
     Refused,
+    /// The server refused a request, perhaps an earlier one of the same connection.
+    Unattributed,
     /// Another server answers at the address.
     Misdirected,
     /// The connection broke, or the response was invalid.
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -14,6 +14,13 @@
         /// HTTP status of the refusal.
         status: u16,
     },
+    /// A refusal without an id on a connection that has served other requests: it may
+    /// be that of an earlier one, sent again.
+    #[error("refused with status {status}, perhaps for an earlier request")]
+    Unattributed {
+        /// HTTP status of the refusal.
+        status: u16,
+    },
     /// A different backend server listens on the address.
     #[error("a different backend server listens on the address")]
     Misdirected,
@@ -73,6 +80,7 @@
         match self {
             Error::ConnectFailed => Outcome::ConnectFailed,
             Error::Refused { .. } => Outcome::Refused,
+            Error::Unattributed { .. } => Outcome::Unattributed,
             Error::Misdirected => Outcome::Misdirected,
             Error::DeadlineExceeded => Outcome::DeadlineExceeded,
             Error::StaleConnection => Outcome::StaleConnection,
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -268,7 +268,7 @@
             _ => Duration::MAX,
         };
         if let Some(connection) = self.context.pool.take(address, max_idle) {
-            match self.send(connection).await {
+            match self.send(connection, Use::Again).await {
                 Err(Error::ConnectFailed) => {}
                 Err(Error::Broken) => return Err(Error::StaleConnection),
                 result => return result,
@@ -276,12 +276,13 @@
         }
         self.shared().meter.connections.add(1);
         let connection = connection::connect(address).await?;
-        self.send(connection).await
+        self.send(connection, Use::First).await
     }
 
     async fn send(
         &self,
         mut connection: Connection,
+        usage: Use,
     ) -> Result<(Connection, Response<Incoming>), Error> {
         let remaining = self.remaining_time()?;
         let last_id = self.events.last_id();
@@ -289,7 +290,7 @@
         let request = self.request.to_backend(&self.ticket, &self.target, remaining, last_event);
         let mut timeout = Timeout::new(self.shared(), &self.ticket, &self.target.server)?;
         let response = timeout.wait_for(connection.send(request)).await??;
-        self.check_head(&response)?;
+        self.check_head(&response, usage)?;
         Ok((connection, response))
     }
 
@@ -299,17 +300,21 @@
 
     /// Checks that the response head belongs to the request and comes from the
     /// backend server itself.
-    fn check_head(&self, response: &Response<Incoming>) -> Result<(), Error> {
+    fn check_head(&self, response: &Response<Incoming>, usage: Use) -> Result<(), Error> {
         let status = response.status().as_u16();
         let answer = read_answer(response);
-        if status == 421 {
-            return Err(Error::Misdirected);
-        }
-        self.record_notices(status, &answer);
         let has_id = !self.request.id.is_empty();
         if has_id && answer.id.is_some_and(|id| id != self.request.id.as_str()) {
             return Err(Error::RequestMismatch);
         }
+        let refused = answer.not_run || status == 421;
+        if refused && usage == Use::Again && (!has_id || answer.id.is_none()) {
+            return Err(Error::Unattributed { status });
+        }
+        if status == 421 {
+            return Err(Error::Misdirected);
+        }
+        self.record_notices(status, &answer);
         if answer.not_run {
             return Err(Error::Refused { status });
         }
@@ -383,6 +388,14 @@
     }
 }
 
+/// Whether a connection has served other requests. What arrives on it may then belong to
+/// one of these.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Use {
+    First,
+    Again,
+}
+
 /// How a response was processed.
 enum Disposition {
     /// The stream began with this head.
