A stream goes on only with an answer that resumes it

Cause: any signed 2xx with the right id counted as the rest of the stream, whatever its type and content, and the end of such an answer counted as the end of the stream even before its first event. The class: a check at the start of a response that isn't repeated where another takes its place.

Fix: an answer resumes a stream if its status and media type are those of the head that the caller has, its first event has a higher id, and it doesn't end before that. Otherwise the attempt has failed, and the next server is asked or the stream is cut. A stream that broke off after its last event is cut, too: the caller resumes it and learns that it was complete.

Errors with status 404, 500 and 503 and bytes that are no answer did not get through before either.

--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -51,6 +51,9 @@
         /// Id of the event.
         found: u64,
     },
+    /// The response is not the rest of the stream that it has to resume.
+    #[error("the response does not resume the stream")]
+    NotResumed,
     /// The response exceeds a size limit.
     #[error("response exceeds the limit of {limit} bytes")]
     Oversized {
@@ -84,7 +87,10 @@
             Error::Misdirected => Outcome::Misdirected,
             Error::DeadlineExceeded => Outcome::DeadlineExceeded,
             Error::StaleConnection => Outcome::StaleConnection,
-            Error::Failed { .. } | Error::Oversized { .. } | Error::Unreadable => Outcome::Failed,
+            Error::Failed { .. }
+            | Error::NotResumed
+            | Error::Oversized { .. }
+            | Error::Unreadable => Outcome::Failed,
             Error::TimedOut => Outcome::TimedOut,
             _ => Outcome::Broken,
         }
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -23,12 +23,14 @@
     /// End of the last complete event in the buffer, as a byte offset.
     complete: usize,
     last_id: u64,
+    /// Whether the next event continues the stream of another server.
+    is_resumed: bool,
 }
 
 impl Splitter {
     /// Creates a splitter for a stream whose caller has the events up to `last_id`.
     pub fn new(last_id: u64) -> Splitter {
-        Splitter { buffer: BytesMut::new(), complete: 0, last_id }
+        Splitter { buffer: BytesMut::new(), complete: 0, last_id, is_resumed: false }
     }
 
     /// Appends a chunk.
@@ -47,7 +49,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::OutOfOrder`] if an event's id is not higher than the previous one.
+    /// [`Error::OutOfOrder`] if an event's id is not higher than the previous one,
+    /// [`Error::NotResumed`] if the first event from another server has none.
     pub fn take(&mut self) -> Result<Bytes, Error> {
         let mut taken = skip_empty_lines(&self.buffer[..self.complete], 0);
         while taken < self.complete {
@@ -55,10 +58,12 @@
             let end = first_event_end(events).map(|end| skip_empty_lines(events, end));
             let event = &events[..end.unwrap_or(events.len())];
             match last_id_of(event, self.last_id) {
+                Ok(id) if self.is_resumed && id == self.last_id => return Err(Error::NotResumed),
                 Ok(id) => self.last_id = id,
                 Err(error) if taken == 0 => return Err(error),
                 Err(_) => break,
             }
+            self.is_resumed = false;
             taken += event.len();
         }
         self.complete -= taken;
@@ -80,10 +85,16 @@
         self.last_id
     }
 
+    /// Whether the stream goes on at another server that has sent no event yet.
+    pub fn is_resumed(&self) -> bool {
+        self.is_resumed
+    }
+
     /// Discards an incomplete event, which another server will send from its start.
     pub fn restart(&mut self) {
         self.buffer.clear();
         self.complete = 0;
+        self.is_resumed = true;
     }
 }
 
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -18,7 +18,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
-use self::stream::Source;
+use self::stream::{Source, StreamHead};
 use crate::Error;
 use crate::events::Splitter;
 use crate::quota::{EVENT_LIMIT, RESPONSE_LIMIT, Reservation};
@@ -99,6 +99,8 @@
     // open requests never lags behind closed connections.
     attempt: Option<Attempt>,
     source: Option<Source>,
+    /// Head of the stream that the caller has.
+    stream_head: Option<StreamHead>,
     events: Splitter,
     /// Memory reserved for an incomplete event.
     reservation: Reservation,
@@ -149,6 +151,7 @@
             target,
             attempt: None,
             source: None,
+            stream_head: None,
             events,
             reservation,
             last_event_at: None,
@@ -356,8 +359,10 @@
         if let Some(keep_alive) = read_answer(&response).keep_alive {
             connection.set_idle_limit(keep_alive);
         }
+        let stream_head = StreamHead::new(&response);
         let (head, body) = response.into_parts();
         if self.ticket.kind.is_stream() && head.status.is_success() {
+            self.stream_head = Some(stream_head);
             self.source = Some(Source::new(connection, &head, body));
             return Ok(Disposition::Stream(head));
         }
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -6,7 +6,9 @@
 use balance::{Decision, Reason, Refusal};
 use bytes::Bytes;
 use connection::Connection;
+use http::header::CONTENT_TYPE;
 use http::response::Parts;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -37,6 +39,23 @@
     }
 }
 
+/// What the responses of all servers of a stream have in common.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct StreamHead {
+    status: StatusCode,
+    /// Media type, in lower case and without parameters.
+    media_type: Option<String>,
+}
+
+impl StreamHead {
+    pub(super) fn new<B>(response: &Response<B>) -> StreamHead {
+        let value = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let essence = value.and_then(|value| value.split(';').next());
+        let media_type = essence.map(|essence| essence.trim().to_ascii_lowercase());
+        StreamHead { status: response.status(), media_type }
+    }
+}
+
 impl Relay {
     /// Returns the next events of the stream, or `None` once it is complete.
     ///
@@ -145,9 +164,13 @@
                 Some(Err(_)) => return Err(Error::Broken),
                 // A server that fails before the first event may only close the
                 // connection.
-                None if source.until_close && self.events.last_id() == 0 => {
+                None if source.until_close
+                    && (self.events.last_id() == 0 || self.events.is_resumed()) =>
+                {
                     return Err(Error::Broken);
                 }
+                // A caller that has all events already learns so when it resumes.
+                None if self.events.is_resumed() => return Err(Error::NotResumed),
                 None if self.events.is_empty() => return Ok(None),
                 None => return Err(Error::Broken),
             }
@@ -187,6 +210,13 @@
         self.reconnect(Some(error)).await
     }
 
+    /// Whether a response may be the rest of the stream: it has the status and the type
+    /// of the response whose head the caller has.
+    fn resumes(&self, response: &Response<Incoming>) -> bool {
+        let (head, resumed) = (self.stream_head.as_ref(), StreamHead::new(response));
+        head == Some(&resumed)
+    }
+
     /// Resumes the stream on the current target, or on another one after an error.
     async fn reconnect(&mut self, error: Option<Error>) -> Result<(), Refusal> {
         let mut error = error;
@@ -198,12 +228,15 @@
                 self.wait_for_server(interrupted_at, refusal).await?;
             }
             match self.exchange().await {
-                Ok((connection, response)) if response.status().is_success() => {
+                Ok((connection, response)) if self.resumes(&response) => {
                     self.shared().meter.resumed.add(1);
                     let (head, body) = response.into_parts();
                     self.source = Some(Source::new(connection, &head, body));
                     return Ok(());
                 }
+                Ok((_, response)) if response.status().is_success() => {
+                    error = Some(Error::NotResumed);
+                }
                 Ok((_, response)) => {
                     error = Some(Error::Failed { status: response.status().as_u16() });
                 }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -41,6 +41,20 @@
     assert_eq!(end, Err(Error::OutOfOrder { previous: 2, found: 2 }));
 }
 
+/// Text without an id where the rest of a stream is due.
+#[test]
+fn take_text_that_does_not_resume() {
+    let mut splitter = Splitter::new(0);
+    splitter.push(b"id: 1\n\nid: 2\nda");
+    assert_eq!(&splitter.take().unwrap()[..], b"id: 1\n\n");
+    splitter.restart();
+    splitter.push(b"HTTP/1.1 500 x\r\n\r\nfailed\n\nid: 2\n\n");
+    assert_eq!(splitter.take(), Err(Error::NotResumed));
+    splitter.restart();
+    splitter.push(b"id: 2\n\ndata: last\n\n");
+    assert_eq!(&splitter.take().unwrap()[..], b"id: 2\n\ndata: last\n\n");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400, failure_persistence: None, ..ProptestConfig::default()
