A body that arrives after the first configuration is forwarded

What callers saw: a booking sent just before a gateway knew its first configuration ran with an empty body and was answered 200.

Fix: until a configuration is known, the default limit on bodies applies; a larger body is refused with 503, a smaller one is kept.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -277,7 +277,7 @@
     /// The final response, if the request can't be admitted.
     pub fn admit(&mut self, now: Duration, submission: &Submission<'_>) -> Result<Ticket, Refusal> {
         let Some(config) = self.view.config() else {
-            return Err(self.refuse_not_run(Reason::Unconfigured, submission.caller_timeout));
+            return Err(self.refuse_unconfigured(submission.caller_timeout));
         };
         let (route, account) =
             match config.resolve(submission.host, submission.path, submission.key) {
@@ -323,6 +323,11 @@
         Ok(ticket)
     }
 
+    /// The refusal of a request while no configuration is known.
+    pub fn refuse_unconfigured(&mut self, caller_timeout: Option<Duration>) -> Refusal {
+        self.refuse_not_run(Reason::Unconfigured, caller_timeout)
+    }
+
     /// Draws a pool at random by the weights of a route.
     fn draw_pool(&mut self, shares: &[(Name, u32)]) -> Name {
         let total: u32 = shares.iter().map(|(_, weight)| weight).sum();
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -64,11 +64,15 @@
         return response;
     };
     let config = context.shared.balancer().config().map(|config| (config.version, config.limits));
-    // Without a configuration the request is refused, whatever its size.
-    let (version, limit) = config.map_or((0, 0), |(version, limits)| (version, limits.body));
+    let (version, limits) = config.unwrap_or_default();
+    let limit = limits.body;
     match read_body(body, limit).await {
         Ok(body) => parsed.body = body,
-        Err(_) if config.is_none() => {}
+        Err(413) if config.is_none() => {
+            // No configuration forbids its size.
+            let refusal = context.shared.balancer().refuse_unconfigured(parsed.caller_timeout);
+            return refuse(&context.shared, &parsed, version, refusal);
+        }
         Err(status) => {
             context.shared.meter.record_denial(status);
             log::info!(target: "request", id:% = parsed.id, status = status, limit = limit,
@@ -76,18 +80,10 @@
             return empty_response(status);
         }
     }
-    let (id, parts) = (parsed.id.clone(), parsed.prompt_parts.clone());
+    let id = parsed.id.clone();
     let relay = match Relay::begin(context.clone(), parsed).await {
         Ok(relay) => relay,
-        Err(refusal) => {
-            context.shared.meter.refused.add(1);
-            context.shared.meter.record_denial(refusal.status);
-            log::info!(target: "request", id:% = id, status = refusal.status, config = version,
-                reason:% = refusal.reason, prompt:% = suspect::label(&parts),
-                retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
-                "refused");
-            return refusal_response(&id, refusal);
-        }
+        Err((refusal, request)) => return refuse(&context.shared, &request, version, refusal),
     };
     match Box::new(relay).run().await {
         Reply::Complete(answer) => {
@@ -105,6 +101,17 @@
     }
 }
 
+/// Records that a request is not admitted, and returns the response.
+fn refuse(shared: &Shared, request: &Request, version: u64, refusal: Refusal) -> Response<Body> {
+    shared.meter.refused.add(1);
+    shared.meter.record_denial(refusal.status);
+    log::info!(target: "request", id:% = request.id, status = refusal.status, config = version,
+        reason:% = refusal.reason, prompt:% = suspect::label(&request.prompt_parts),
+        retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
+        "refused");
+    refusal_response(&request.id, refusal)
+}
+
 /// A stream that cannot be completed; the caller's connection is aborted.
 #[derive(Debug, thiserror::Error)]
 #[error("the stream was cut: {}", .0.reason)]
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -126,8 +126,11 @@
     ///
     /// # Errors
     ///
-    /// The refusal, if the request is not admitted or has no backend server.
-    pub async fn begin(context: Rc<Context>, request: Request) -> Result<Relay, Refusal> {
+    /// The refusal and the request, if it is not admitted or has no backend server.
+    pub async fn begin(
+        context: Rc<Context>,
+        request: Request,
+    ) -> Result<Relay, (Refusal, Request)> {
         let shared = context.shared.clone();
         let now = shared.now();
         let submission = balance::Submission {
@@ -139,8 +142,15 @@
             fingerprint: request.fingerprint(),
             shared_parts: request.shared_parts(),
         };
-        let mut ticket = shared.balancer().admit(now, &submission)?;
-        let target = trial::choose(&shared, &mut ticket).await?;
+        let admitted = shared.balancer().admit(now, &submission);
+        let mut ticket = match admitted {
+            Ok(ticket) => ticket,
+            Err(refusal) => return Err((refusal, request)),
+        };
+        let target = match trial::choose(&shared, &mut ticket).await {
+            Ok(target) => target,
+            Err(refusal) => return Err((refusal, request)),
+        };
         let events = Splitter::new(request.last_event.unwrap_or_default());
         let guard = shared.count_request();
         let reservation = shared.quota.reserve(EVENT_LIMIT);
