Bounds of the platform's settings may be fractions

Cause: the template made milliseconds of seconds by appending three zeros (7.5000), and the fields were read as whole numbers.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use tables::{Name, Position};
 
 use crate::budget::Budget;
@@ -66,7 +66,7 @@
     /// Additional retries allowed per window.
     pub retry_slack: f64,
     /// Length of the window.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "retry_window_ms")]
     pub retry_window: Duration,
 }
--- a/components/balance/src/hold.rs
+++ b/components/balance/src/hold.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use tables::Name;
 
 use crate::notice::Start;
@@ -33,11 +33,11 @@
 pub struct Bounds {
     /// Time for which a zone stays out although the restored store doesn't list
     /// it: the length of the store's history.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "zone_ms")]
     pub zone: Duration,
     /// Heartbeat interval of backend servers, at which each rewrites its row.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "heartbeat_ms")]
     pub heartbeat: Duration,
 }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 
 use ::settings::{Check, Fault, Reason};
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, serde_as};
 use tables::Name;
 
 /// Settings of the entry, read from JSON. Durations are in milliseconds.
@@ -43,7 +43,7 @@
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
     /// Time between the stop signal and the forced stop.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "grace_ms")]
     pub grace: Duration,
 }
