A planned stop waits until callers have read their responses

Cause: a request counted as open until its response was handed to the HTTP library, not until it was written. The class: done is taken for handed over. The listener of today would also have closed such a connection after the idle timeout, which ran from the same moment.

Fix: a connection whose last write waits for its caller isn't idle: a stop lets it go on, the idle time starts anew with each write. The drain waits for open connections as well as open requests, up to the grace period. Idle connections are closed at once, as before.

Tests of the listener wait for what follows a response instead of expecting it at once.

--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -124,7 +124,9 @@
     actix_rt::time::sleep(DRAIN_DELAY.min(settings.grace / 2)).await;
     // Closes idle connections, since later requests on them could not complete.
     callers.stop();
-    while shared.open_requests() > 0 && started.elapsed() + FORCED_STOP_MARGIN < settings.grace {
+    // A connection is open until its caller has read the response.
+    let is_busy = || shared.open_requests() > 0 || callers.open() > 0;
+    while is_busy() && started.elapsed() + FORCED_STOP_MARGIN < settings.grace {
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/components/listener/src/connection.rs
+++ b/components/listener/src/connection.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::io::{self, State, Stream};
-use crate::{Handler, Limits, Phase, new_state};
+use crate::{Handler, Limits, Phase};
 
 /// Least size of the buffer for a request head, in bytes. It is allocated as bytes
 /// arrive, and allows for limits that are raised while the connection is open.
@@ -94,12 +94,12 @@
     pub async fn serve(mut self, socket: TcpStream) {
         // Fails if the caller has closed the connection.
         let _ = socket.set_nodelay(true);
-        let state = new_state();
+        let state = State::new();
         let stream = TokioIo::new(Stream { socket, state: state.clone() });
         let (handler, limits) = (self.handler.clone(), (self.handler.limits)());
         let served = state.clone();
         let service = service_fn(move |request| {
-            served.set(Phase::Request);
+            served.phase.set(Phase::Request);
             respond(handler.clone(), served.clone(), limits, request)
         });
         let mut connection = builder(&limits).serve_connection(stream, service);
@@ -111,7 +111,7 @@
                     (self.handler.on_rejection)(Rejection::Late);
                     return send_late(&connection.into_parts().io.into_inner().socket);
                 }
-                End::Stopped if !matches!(state.get(), Phase::Idle(_)) => {
+                End::Stopped if !state.is_idle() => {
                     Pin::new(&mut connection).graceful_shutdown();
                 }
                 End::Expired(_) | End::Stopped => return,
@@ -129,7 +129,7 @@
             if let Poll::Ready(result) = Pin::new(&mut *connection).poll(cx) {
                 return Poll::Ready(End::Closed(result));
             }
-            let phase = state.get();
+            let phase = state.phase.get();
             let Some(expires) = phase.expires(&(self.handler.limits)()) else {
                 return Poll::Pending;
             };
@@ -169,7 +169,7 @@
 
 async fn respond<L, R, S, F, B>(
     handler: Rc<Handler<L, R, S>>,
-    state: State,
+    state: Rc<State>,
     accepted_under: Limits,
     request: Request<Incoming>,
 ) -> Result<Response<io::Response<B>>, Infallible>
--- a/components/listener/src/io.rs
+++ b/components/listener/src/io.rs
@@ -13,13 +13,39 @@
 
 use crate::Phase;
 
-/// A connection's phase, shared by its stream and its responses.
-pub(crate) type State = Rc<Cell<Phase>>;
+/// A connection's state, shared by its stream and its responses.
+pub(crate) struct State {
+    pub phase: Cell<Phase>,
+    /// Whether the last write has to wait for the caller to read.
+    pub is_blocked: Cell<bool>,
+}
+
+impl State {
+    /// The state of a new connection.
+    pub fn new() -> Rc<State> {
+        let phase = Phase::Idle(Instant::now());
+        Rc::new(State { phase: Cell::new(phase), is_blocked: Cell::new(false) })
+    }
 
-/// A stream that records when bytes arrive.
+    /// Whether nothing is due from either side.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.phase.get(), Phase::Idle(_)) && !self.is_blocked.get()
+    }
+
+    /// Records the result of a write. A response may be written long after its body was
+    /// dropped.
+    fn record_write<T>(&self, result: &Poll<T>) {
+        self.is_blocked.set(result.is_pending());
+        if result.is_ready() && matches!(self.phase.get(), Phase::Idle(_)) {
+            self.phase.set(Phase::Idle(Instant::now()));
+        }
+    }
+}
+
+/// A stream that records when bytes arrive and whether they can be written.
 pub(crate) struct Stream {
     pub socket: TcpStream,
-    pub state: State,
+    pub state: Rc<State>,
 }
 
 impl AsyncRead for Stream {
@@ -31,7 +57,8 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.socket).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.state.set(self.state.get().receive(Instant::now()));
+            let phase = &self.state.phase;
+            phase.set(phase.get().receive(Instant::now()));
         }
         result
     }
@@ -43,7 +70,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.socket).poll_write(cx, bytes);
+        self.state.record_write(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -51,7 +80,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut self.socket).poll_write_vectored(cx, slices);
+        self.state.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -67,15 +98,15 @@
     }
 }
 
-/// A response body. The connection is idle once it has been dropped.
+/// A response body. The connection is idle once it has been dropped and written.
 pub(crate) struct Response<B> {
     pub body: Option<Pin<Box<B>>>,
-    pub state: State,
+    pub state: Rc<State>,
 }
 
 impl<B> Drop for Response<B> {
     fn drop(&mut self) {
-        self.state.set(Phase::Idle(Instant::now()));
+        self.state.phase.set(Phase::Idle(Instant::now()));
     }
 }
 
--- a/components/listener/src/lib.rs
+++ b/components/listener/src/lib.rs
@@ -7,7 +7,6 @@
 mod io;
 mod phase;
 
-use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener as Socket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -159,8 +158,3 @@
         });
     }
 }
-
-/// Initial state of a connection.
-fn new_state() -> io::State {
-    Rc::new(Cell::new(Phase::Idle(tokio::time::Instant::now())))
-}
--- a/components/listener/tests/listener.rs
+++ b/components/listener/tests/listener.rs
@@ -42,6 +42,9 @@
     }
 }
 
+/// Size of a response that doesn't fit into the buffers of a connection, in bytes.
+const LARGE: usize = 24 << 20;
+
 /// A body of one piece.
 struct Text(Option<Bytes>);
 
@@ -71,9 +74,11 @@
             on_rejection: move |rejection: listener::Rejection| {
                 recorded.rejected.lock().unwrap().push(rejection.status());
             },
-            respond: move |_| async move {
+            respond: move |request: hyper::Request<_>| async move {
                 actix_rt::time::sleep(work).await;
-                Response::new(Text(Some(Bytes::from_static(b"ok"))))
+                let large = request.uri().path() == "/large";
+                let body = if large { vec![b'x'; LARGE] } else { b"ok".to_vec() };
+                Response::new(Text(Some(body.into())))
             },
         })
         .unwrap()
@@ -81,6 +86,15 @@
     (listener, address)
 }
 
+/// Waits until a condition holds that follows shortly after a response.
+fn wait_until(mut is_met: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !is_met() {
+        assert!(started.elapsed() < Duration::from_secs(10));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -117,7 +131,7 @@
     let response = read(&mut stream);
     assert!(response.starts_with(&format!("HTTP/1.1 {status}")), "{response}");
     let rejected: Vec<u16> = if status == "431" { vec![431] } else { vec![] };
-    assert_eq!(*shared.rejected.lock().unwrap(), rejected);
+    wait_until(|| *shared.rejected.lock().unwrap() == rejected);
 }
 
 /// A larger head than was allowed when the connection was opened.
@@ -150,7 +164,7 @@
     assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
     stream.write_all(b"GET / HTTP/1.1\r\n").unwrap();
     assert!(read(&mut stream).starts_with("HTTP/1.1 408"));
-    assert_eq!(*shared.rejected.lock().unwrap(), [408]);
+    wait_until(|| *shared.rejected.lock().unwrap() == [408]);
 }
 
 #[test]
@@ -160,7 +174,7 @@
     let mut stream = connect(address);
     stream.write_all(b"GET / HTTP/1.1\r\nhost x\r\n\r\n").unwrap();
     assert!(read(&mut stream).starts_with("HTTP/1.1 400"));
-    assert_eq!(*shared.rejected.lock().unwrap(), [400]);
+    wait_until(|| *shared.rejected.lock().unwrap() == [400]);
 }
 
 /// A response that takes longer than head and idle time isn't cut.
@@ -172,9 +186,7 @@
     stream.write_all(request(1).as_bytes()).unwrap();
     assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
     assert_eq!(read(&mut stream), "");
-    while listener.open() > 0 {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait_until(|| listener.open() == 0);
 }
 
 /// Idle connections are closed at once, the others after their response.
@@ -185,9 +197,7 @@
     let mut idle = connect(address);
     let mut busy = connect(address);
     busy.write_all(request(1).as_bytes()).unwrap();
-    while listener.open() < 2 {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait_until(|| listener.open() == 2);
     std::thread::sleep(Duration::from_millis(50));
     let stopped = Instant::now();
     listener.stop();
@@ -197,3 +207,28 @@
     assert_eq!(read(&mut busy), "");
     assert!(TcpStream::connect(address).is_err());
 }
+
+/// A caller reads a large response slowly; neither the idle timeout nor the stop cuts it.
+#[test]
+fn stop_completes_response_that_is_read_slowly() {
+    let shared = Shared::new(1000, 5000, 400);
+    let (listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    stream.write_all(b"GET /large HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let mut size = 0;
+    let mut chunk = vec![0; 1 << 20];
+    let started = Instant::now();
+    loop {
+        match stream.read(&mut chunk).unwrap() {
+            0 => break,
+            count => size += count,
+        }
+        if started.elapsed() < Duration::from_secs(1) {
+            std::thread::sleep(Duration::from_millis(50));
+        } else {
+            listener.stop();
+        }
+    }
+    assert!(size > LARGE, "{size} bytes");
+    wait_until(|| listener.open() == 0);
+}
