--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -109,8 +109,10 @@
         });
         let (limited, recorded) = (context.shared.clone(), context.shared.clone());
         Handler {
-            limits: move || front::limits(&limited),
-            on_rejection: move |rejection| front::record_rejection(&recorded, &rejection),
+            limits: Box::new(move || front::limits(&limited)),
+            on_rejection: Box::new(move |rejection| {
+                front::record_rejection(&recorded, &rejection);
+            }),
             respond: move |request| front::serve(context.clone(), request),
         }
     })
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -119,7 +119,12 @@
         }
         Transition::None | Transition::Lost => {}
     }
-    shared.balancer().record_store_reply(now, kind);
+    let mut balancer = shared.balancer();
+    // An answer older than the copy doesn't show that the copy is current.
+    if position >= balancer.position(kind) {
+        balancer.record_store_reply(now, kind);
+    }
+    drop(balancer);
     apply_page(shared, kind, call, listed);
 }
 
--- a/components/listener/src/connection.rs
+++ b/components/listener/src/connection.rs
@@ -76,15 +76,13 @@
     Stopped,
 }
 
-pub(crate) struct Connection<L, R, S> {
-    pub handler: Rc<Handler<L, R, S>>,
+pub(crate) struct Connection<S> {
+    pub handler: Rc<Handler<S>>,
     pub stopped: watch::Receiver<bool>,
 }
 
-impl<L, R, S, F, B> Connection<L, R, S>
+impl<S, F, B> Connection<S>
 where
-    L: Fn() -> Limits + 'static,
-    R: Fn(Rejection) + 'static,
     S: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
     B: Body + 'static,
@@ -167,15 +165,13 @@
     builder
 }
 
-async fn respond<L, R, S, F, B>(
-    handler: Rc<Handler<L, R, S>>,
+async fn respond<S, F, B>(
+    handler: Rc<Handler<S>>,
     state: Rc<State>,
     accepted_under: Limits,
     request: Request<Incoming>,
 ) -> Result<Response<io::Response<B>>, Infallible>
 where
-    L: Fn() -> Limits,
-    R: Fn(Rejection),
     S: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<B>>,
     B: Body,
--- a/components/listener/src/lib.rs
+++ b/components/listener/src/lib.rs
@@ -32,11 +32,11 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Behaviour of a listener, on its own thread.
-pub struct Handler<L, R, S> {
+pub struct Handler<S> {
     /// Returns the limits in force.
-    pub limits: L,
+    pub limits: Box<dyn Fn() -> Limits>,
     /// Called for each request that is rejected before it is complete.
-    pub on_rejection: R,
+    pub on_rejection: Box<dyn Fn(Rejection)>,
     /// Responds to a request.
     pub respond: S,
 }
@@ -54,13 +54,11 @@
     /// # Errors
     ///
     /// If the address can't be bound.
-    pub fn start<L, R, S, F, B>(
+    pub fn start<S, F, B>(
         address: SocketAddr,
-        start: impl FnOnce() -> Handler<L, R, S> + Send + 'static,
+        start: impl FnOnce() -> Handler<S> + Send + 'static,
     ) -> std::io::Result<Listener>
     where
-        L: Fn() -> Limits + 'static,
-        R: Fn(Rejection) + 'static,
         S: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<B>> + 'static,
         B: Body + 'static,
@@ -116,14 +114,12 @@
     }
 }
 
-async fn accept<L, R, S, F, B>(
+async fn accept<S, F, B>(
     socket: Socket,
-    handler: Rc<Handler<L, R, S>>,
+    handler: Rc<Handler<S>>,
     mut stopped: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
 ) where
-    L: Fn() -> Limits + 'static,
-    R: Fn(Rejection) + 'static,
     S: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
     B: Body + 'static,
--- a/components/listener/tests/listener.rs
+++ b/components/listener/tests/listener.rs
@@ -70,10 +70,10 @@
     let (limited, recorded) = (shared.clone(), shared.clone());
     let listener = actix_rt::System::new().block_on(async move {
         Listener::start(address, move || Handler {
-            limits: move || limited.limits(),
-            on_rejection: move |rejection: listener::Rejection| {
+            limits: Box::new(move || limited.limits()),
+            on_rejection: Box::new(move |rejection| {
                 recorded.rejected.lock().unwrap().push(rejection.status());
-            },
+            }),
             respond: move |request: hyper::Request<_>| async move {
                 actix_rt::time::sleep(work).await;
                 let large = request.uri().path() == "/large";
