--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -51,20 +51,25 @@
             }
             Err(error) => {
                 shared.meter.store_failures.add(1);
-                let (transition, wait) = poller.fail(&error);
-                if poller.call() == Call::List && call != Call::List {
-                    log::info!(target: "store", kind:? = kind, error:% = error;
-                        "watch ended, listing again");
-                }
-                if transition == Transition::Lost {
-                    log::warn!(target: "store", kind:? = kind, error:% = error; "lost");
-                }
+                let wait = handle_failure(&mut poller, kind, call, &error);
                 actix_rt::time::sleep(wait).await;
             }
         }
     }
 }
 
+/// Records a failed call. Returns the wait before the next one.
+fn handle_failure(poller: &mut Poller, kind: Kind, call: Call, error: &Error) -> Duration {
+    let (transition, wait) = poller.fail(error);
+    if poller.call() == Call::List && call != Call::List {
+        log::info!(target: "store", kind:? = kind, error:% = error; "watch ended, listing again");
+    }
+    if transition == Transition::Lost {
+        log::warn!(target: "store", kind:? = kind, error:% = error; "lost");
+    }
+    wait
+}
+
 /// Whether the entry has to follow a kind itself. Records the age of its copy.
 fn follows_store(shared: &Shared, kind: Kind) -> bool {
     let now = shared.now();
--- a/components/listener/src/lib.rs
+++ b/components/listener/src/lib.rs
@@ -42,6 +42,29 @@
 }
 
 /// A running listener. It stops when dropped.
+///
+/// ```
+/// use std::time::Duration;
+/// use bytes::Bytes;
+/// use http_body_util::Full;
+/// use listener::{Handler, Limits, Listener};
+///
+/// let limits = Limits {
+///     head: 16_384,
+///     head_time: Duration::from_secs(3),
+///     idle_time: Duration::from_secs(15),
+/// };
+/// actix_rt::System::new().block_on(async move {
+///     let listener = Listener::start(([127, 0, 0, 1], 0).into(), move || Handler {
+///         limits: Box::new(move || limits),
+///         on_rejection: Box::new(|rejection| eprintln!("{rejection}")),
+///         respond: |_| async { hyper::Response::new(Full::new(Bytes::from("hello"))) },
+///     })
+///     .unwrap();
+///     assert_eq!(listener.open(), 0);
+///     listener.stop();
+/// });
+/// ```
 pub struct Listener {
     stop: watch::Sender<bool>,
     open: Arc<AtomicUsize>,
