A stream of a server that sends no media type can be resumed

The first server's head had no media type, the resuming one's was text/event-stream, and the check of resumptions of this issue asked for equality, so the stream was cut.

Fix: an event stream resumes any stream; another media type only one of the same.

--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -23,6 +23,9 @@
 /// Interval between attempts to find a backend server during that time.
 const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// An event stream that is being received.
 pub(super) struct Source {
     connection: Connection,
@@ -39,8 +42,8 @@
     }
 }
 
-/// What the responses of all servers of a stream have in common.
-#[derive(Debug, PartialEq, Eq)]
+/// What tells whether a response is the rest of a stream.
+#[derive(Debug)]
 pub(super) struct StreamHead {
     status: StatusCode,
     /// Media type, in lower case and without parameters.
@@ -54,6 +57,13 @@
         let media_type = essence.map(|essence| essence.trim().to_ascii_lowercase());
         StreamHead { status: response.status(), media_type }
     }
+
+    /// Whether a response with this head may be the rest of the stream. The first server
+    /// may have sent no type.
+    fn continues_in(&self, head: &StreamHead) -> bool {
+        let is_stream = head.media_type.as_deref() == Some(EVENT_STREAM);
+        self.status == head.status && (is_stream || self.media_type == head.media_type)
+    }
 }
 
 impl Relay {
@@ -210,11 +220,9 @@
         self.reconnect(Some(error)).await
     }
 
-    /// Whether a response may be the rest of the stream: it has the status and the type
-    /// of the response whose head the caller has.
+    /// Whether a response may be the rest of the stream whose head the caller has.
     fn resumes(&self, response: &Response<Incoming>) -> bool {
-        let (head, resumed) = (self.stream_head.as_ref(), StreamHead::new(response));
-        head == Some(&resumed)
+        self.stream_head.as_ref().is_some_and(|head| head.continues_in(&StreamHead::new(response)))
     }
 
     /// Resumes the stream on the current target, or on another one after an error.
