--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -5,7 +5,7 @@
 use adapter::header;
 use balance::{Target, Ticket};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::request::Parts;
 use http_body_util::Full;
 use tables::Name;
@@ -62,15 +62,11 @@
     ///
     /// # Errors
     ///
-    /// [`Malformed`] if the target cannot be forwarded, the `Host` header is missing or
-    /// the body is delimited in two ways.
+    /// [`Malformed`] if the target cannot be forwarded or the `Host` header is missing.
     pub fn read(head: &Parts) -> Result<Request, Malformed> {
         let header_value =
             |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let fields = header::Request::read(header_value);
-        if [CONTENT_LENGTH, TRANSFER_ENCODING].iter().all(|name| head.headers.contains_key(name)) {
-            return Err(Malformed);
-        }
         Ok(Request {
             id: fields.id.unwrap_or_default().into(),
             method: head.method.clone(),
