Streams: one pass to the end of an event, the head only where a stream begins

Found on reading the change. The end of the first event was looked for twice over all that was buffered, again for each event, so that a piece with many events cost its square; it is found in one pass now, which also ends at the first delimiter. The media type of a response was taken apart for each answer; only a stream needs it.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -111,9 +111,13 @@
 
 /// End of the first complete event, including the empty line that delimits it.
 fn first_event_end(buffer: &[u8]) -> Option<usize> {
-    let lf = buffer.windows(2).position(|window| window == b"\n\n").map(|index| index + 2);
-    let crlf = buffer.windows(4).position(|window| window == b"\r\n\r\n").map(|index| index + 4);
-    lf.into_iter().chain(crlf).min()
+    let delimiter_at = |start: usize| {
+        ["\n\n", "\r\n\r\n"]
+            .into_iter()
+            .find(|delimiter| buffer[start..].starts_with(delimiter.as_bytes()))
+            .map(|delimiter| start + delimiter.len())
+    };
+    (0..buffer.len()).find_map(delimiter_at)
 }
 
 /// The last id in an event, or `previous` if it has none.
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -369,10 +369,10 @@
         if let Some(keep_alive) = read_answer(&response).keep_alive {
             connection.set_idle_limit(keep_alive);
         }
-        let stream_head = StreamHead::new(&response);
+        let begins_stream = self.ticket.kind.is_stream() && response.status().is_success();
+        self.stream_head = begins_stream.then(|| StreamHead::new(&response));
         let (head, body) = response.into_parts();
-        if self.ticket.kind.is_stream() && head.status.is_success() {
-            self.stream_head = Some(stream_head);
+        if begins_stream {
             self.source = Some(Source::new(connection, &head, body));
             return Ok(Disposition::Stream(head));
         }
