An event that skips ids is delivered only if two servers send it

A server spoils one byte of an id, so that 4 becomes 5; the caller gets 1, 2, 3, 5 (which is 4), 6, 7, 8.

Cause: ids only had to increase. The spoilt event passed, the real event 5 came out of order, and the stream was resumed after 5. With a larger jump it was resumed after an id that doesn't exist and broken off.

Of streams that can be resumed, an event that skips ids is held back and another server is asked; what two servers number alike is delivered and remembered for the pool.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -4,7 +4,7 @@
 mod peers;
 mod retry;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -122,6 +122,8 @@
     suspects: suspect::Register,
     notices: Notices,
     slow: slow::Register,
+    /// Pools whose streams don't have each event id.
+    skipping: BTreeSet<Name>,
     rng: ChaCha8Rng,
     /// Time of the store's last reply to this entry, by kind.
     store_replies: BTreeMap<Kind, Duration>,
@@ -148,6 +150,7 @@
             suspects: suspect::Register::default(),
             notices: Notices::default(),
             slow: slow::Register::default(),
+            skipping: BTreeSet::new(),
             store_replies: BTreeMap::new(),
             peer_era: 0,
             informed: false,
@@ -382,6 +385,17 @@
         self.paces.entry(pool.clone()).or_default().record(now, gap)
     }
 
+    /// Records that two servers of a pool have skipped the same event ids. Returns
+    /// whether that is new.
+    pub fn record_skipped_ids(&mut self, pool: &Name) -> bool {
+        self.skipping.insert(pool.clone())
+    }
+
+    /// Whether the streams of a pool are known not to have each event id.
+    pub fn skips_ids(&self, pool: &Name) -> bool {
+        self.skipping.contains(pool)
+    }
+
     /// Whether a pool is slow as a whole, or stalled although servers other than
     /// `server` have work. A stream that waits at `server` should then stay there:
     /// another server would be as slow and would have to repeat the prefill.
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -43,7 +43,16 @@
     /// encoding.
     #[error("the response is unsigned or encoded")]
     Unsigned,
-    /// The id of an event is not higher than that of the previous event.
+    /// Ids are missing before an event, in a stream that had each one so far.
+    #[error("event {found} follows event {previous}; those between are missing")]
+    Skipped {
+        /// Id of the previous event.
+        previous: u64,
+        /// Id of the event.
+        found: u64,
+    },
+    /// The id of an event is not higher than that of the previous event, or the event
+    /// has several.
     #[error("event {found} follows event {previous}")]
     OutOfOrder {
         /// Id of the previous event.
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -12,7 +12,8 @@
 /// scanned once, regardless of the chunk boundaries.
 ///
 /// ```
-/// let mut events = gateway::events::Splitter::new(0);
+/// use gateway::events::{Numbering, Splitter};
+/// let mut events = Splitter::new(0, Numbering::Consecutive);
 /// events.push(b"id: 1\ndata: a\n\nid: 2\nda");
 /// assert_eq!(&events.take().unwrap()[..], b"id: 1\ndata: a\n\n");
 /// assert!(!events.is_empty());
@@ -23,14 +24,38 @@
     /// End of the last complete event in the buffer, as a byte offset.
     complete: usize,
     last_id: u64,
+    /// Events without an id since the last one that had one.
+    unnumbered: u64,
+    numbering: Numbering,
+    /// Id of the event that was held back because ids were missing before it.
+    skipped_to: Option<u64>,
     /// Whether the next event continues the stream of another server.
     is_resumed: bool,
 }
 
+/// How the ids of a stream follow each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Numbering {
+    /// Each id is one above the previous one. An event that skips ids is believed only
+    /// if another server sends it as well: a single wrong digit would make the
+    /// caller miss the events in between.
+    Consecutive,
+    /// Ids increase.
+    Increasing,
+}
+
 impl Splitter {
     /// Creates a splitter for a stream whose caller has the events up to `last_id`.
-    pub fn new(last_id: u64) -> Splitter {
-        Splitter { buffer: BytesMut::new(), complete: 0, last_id, is_resumed: false }
+    pub fn new(last_id: u64, numbering: Numbering) -> Splitter {
+        Splitter {
+            buffer: BytesMut::new(),
+            complete: 0,
+            last_id,
+            unnumbered: 0,
+            numbering,
+            skipped_to: None,
+            is_resumed: false,
+        }
     }
 
     /// Appends a chunk.
@@ -49,27 +74,54 @@
     ///
     /// # Errors
     ///
-    /// [`Error::OutOfOrder`] if an event's id is not higher than the previous one,
+    /// [`Error::OutOfOrder`] if an event's id is not higher than the previous one or the
+    /// event has several, [`Error::Skipped`] if ids are missing before it,
     /// [`Error::NotResumed`] if the first event from another server has none.
     pub fn take(&mut self) -> Result<Bytes, Error> {
         let mut taken = skip_empty_lines(&self.buffer[..self.complete], 0);
         while taken < self.complete {
             let events = &self.buffer[taken..self.complete];
             let end = first_event_end(events).map(|end| skip_empty_lines(events, end));
-            let event = &events[..end.unwrap_or(events.len())];
-            match last_id_of(event, self.last_id) {
-                Ok(id) if self.is_resumed && id == self.last_id => return Err(Error::NotResumed),
-                Ok(id) => self.last_id = id,
+            let size = end.unwrap_or(events.len());
+            let id = id_of(&events[..size], self.last_id);
+            match id.and_then(|id| self.follow(id)) {
+                Ok(()) => taken += size,
                 Err(error) if taken == 0 => return Err(error),
                 Err(_) => break,
             }
-            self.is_resumed = false;
-            taken += event.len();
         }
         self.complete -= taken;
         Ok(self.buffer.split_to(taken).freeze())
     }
 
+    /// Goes on to the event with this id.
+    fn follow(&mut self, id: Option<u64>) -> Result<(), Error> {
+        match id {
+            None if self.is_resumed => return Err(Error::NotResumed),
+            None => self.unnumbered += 1,
+            Some(found) => {
+                let next = self.last_id.saturating_add(self.unnumbered).saturating_add(1);
+                if self.numbering == Numbering::Consecutive && found > next {
+                    let is_confirmed = self.is_resumed && self.skipped_to == Some(found);
+                    if !is_confirmed {
+                        self.skipped_to = Some(found);
+                        return Err(Error::Skipped { previous: self.last_id, found });
+                    }
+                    self.numbering = Numbering::Increasing;
+                }
+                self.last_id = found;
+                self.unnumbered = 0;
+            }
+        }
+        self.is_resumed = false;
+        Ok(())
+    }
+
+    /// Whether two servers have skipped the same ids.
+    pub fn skips_ids(&self) -> bool {
+        self.skipped_to.is_some() && self.numbering == Numbering::Increasing
+    }
+
     /// Number of buffered bytes.
     pub fn len(&self) -> usize {
         self.buffer.len()
@@ -94,6 +146,7 @@
     pub fn restart(&mut self) {
         self.buffer.clear();
         self.complete = 0;
+        self.unnumbered = 0;
         self.is_resumed = true;
     }
 }
@@ -120,16 +173,22 @@
     (0..buffer.len()).find_map(delimiter_at)
 }
 
-/// The last id in an event, or `previous` if it has none.
+/// The id of an event, if it has one.
 ///
 /// # Errors
 ///
-/// [`Error::OutOfOrder`] if an id is not higher than the one before it.
-fn last_id_of(event: &[u8], previous: u64) -> Result<u64, Error> {
+/// [`Error::OutOfOrder`] if the id is not higher than `previous`, or if there are
+/// several: a delimiter between two events was lost.
+fn id_of(event: &[u8], previous: u64) -> Result<Option<u64>, Error> {
     let mut ids = event.split(|byte| *byte == b'\n').filter_map(event_id);
-    ids.try_fold(previous, |previous, found| {
-        if found > previous { Ok(found) } else { Err(Error::OutOfOrder { previous, found }) }
-    })
+    let Some(id) = ids.next() else { return Ok(None) };
+    if id <= previous {
+        return Err(Error::OutOfOrder { previous, found: id });
+    }
+    match ids.next() {
+        Some(found) => Err(Error::OutOfOrder { previous: id, found }),
+        None => Ok(Some(id)),
+    }
 }
 
 /// End of the last complete event, including the empty line that delimits it.
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -20,7 +20,7 @@
 
 use self::stream::{Source, StreamHead};
 use crate::Error;
-use crate::events::Splitter;
+use crate::events::{Numbering, Splitter};
 use crate::quota::{EVENT_LIMIT, RESPONSE_LIMIT, Reservation};
 use crate::request::Request;
 use crate::shared::{Guard, Shared};
@@ -151,7 +151,8 @@
             Ok(target) => target,
             Err(refusal) => return Err((refusal, request)),
         };
-        let events = Splitter::new(request.last_event.unwrap_or_default());
+        let numbering = numbering(&shared, &ticket);
+        let events = Splitter::new(request.last_event.unwrap_or_default(), numbering);
         let guard = shared.count_request();
         let reservation = shared.quota.reserve(EVENT_LIMIT);
         let mut relay = Relay {
@@ -421,6 +422,17 @@
     Retried,
 }
 
+/// The numbering to expect of a stream. Only one that can be resumed can be compared with
+/// that of another server.
+fn numbering(shared: &Shared, ticket: &Ticket) -> Numbering {
+    let resumable = ticket.kind == Kind::Stream { resumable: true };
+    if resumable && !shared.balancer().skips_ids(&ticket.pool) {
+        Numbering::Consecutive
+    } else {
+        Numbering::Increasing
+    }
+}
+
 /// Reads a body until its end.
 async fn read_body(mut body: Incoming, mut reservation: Reservation) -> Result<Bytes, Error> {
     let mut buffer = BytesMut::new();
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -143,6 +143,12 @@
                     gap_ms = gap.as_millis() as u64; "limit of open requests changed");
             }
         }
+        if self.events.skips_ids()
+            && self.context.shared.balancer().record_skipped_ids(&self.ticket.pool)
+        {
+            log::info!(target: "request", id:% = self.request.id, pool:% = self.ticket.pool,
+                last_event = self.events.last_id(); "two servers skip the same event ids");
+        }
         if !self.ticket.begun {
             self.ticket.begun = true;
             let age = now - self.ticket.arrived;
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -2,14 +2,14 @@
 #![allow(clippy::unwrap_used)]
 
 use gateway::Error;
-use gateway::events::Splitter;
+use gateway::events::{Numbering, Splitter};
 use proptest::prelude::*;
 use rstest::rstest;
 
 /// All events that a splitter returns for the chunks, and then the number of
 /// buffered bytes or the error.
 fn split(chunks: &[&[u8]]) -> (Vec<u8>, Result<usize, Error>) {
-    let mut splitter = Splitter::new(0);
+    let mut splitter = Splitter::new(0, Numbering::Increasing);
     let mut complete = Vec::new();
     for chunk in chunks {
         splitter.push(chunk);
@@ -41,10 +41,65 @@
     assert_eq!(end, Err(Error::OutOfOrder { previous: 2, found: 2 }));
 }
 
+/// A wrong digit in an id makes later events look like old ones, or the caller miss some.
+#[rstest]
+#[case::first("id: 7\n\nid: 2\n\n", 0, 7)]
+#[case::next("id: 1\n\nid: 3\n\nid: 3\n\n", 1, 3)]
+#[case::far("id: 1\n\nid: 92\n\nid: 3\n\n", 1, 92)]
+#[case::after_lost_delimiter("id: 1\n\ndata: a\nxid: 2\n\nid: 4\n\n", 1, 4)]
+fn take_holds_back_event_that_skips_ids(
+    #[case] stream: &str,
+    #[case] previous: u64,
+    #[case] found: u64,
+) {
+    let mut splitter = Splitter::new(0, Numbering::Consecutive);
+    splitter.push(stream.as_bytes());
+    if previous > 0 {
+        assert!(splitter.take().unwrap().starts_with(b"id: 1\n\n"));
+    }
+    assert_eq!(splitter.take(), Err(Error::Skipped { previous, found }));
+    assert_eq!(splitter.take(), Err(Error::Skipped { previous, found }));
+    assert_eq!(splitter.last_id(), previous);
+    // The sound event of another server.
+    splitter.restart();
+    splitter.push(format!("id: {}\n\n", previous + 1).as_bytes());
+    assert!(splitter.take().is_ok());
+    assert!(!splitter.skips_ids());
+}
+
+/// Ids that really skip: another server confirms it.
+#[test]
+fn take_event_that_two_servers_number_alike() {
+    let mut splitter = Splitter::new(0, Numbering::Consecutive);
+    splitter.push(b"id: 10\n\n");
+    assert_eq!(splitter.take(), Err(Error::Skipped { previous: 0, found: 10 }));
+    splitter.restart();
+    splitter.push(b"id: 10\n\nid: 20\n\n");
+    assert_eq!(&splitter.take().unwrap()[..], b"id: 10\n\nid: 20\n\n");
+    assert!(splitter.skips_ids());
+}
+
+/// A lost delimiter joins two events; the caller would take them for one.
+#[test]
+fn take_rejects_event_with_two_ids() {
+    let (complete, end) = split(&[b"id: 1\n\nid: 2\ndata: ax\nid: 3\n\n"]);
+    assert_eq!(complete, b"id: 1\n\n");
+    assert_eq!(end, Err(Error::OutOfOrder { previous: 2, found: 3 }));
+}
+
+/// An event without an id counts as the one after the previous event.
+#[test]
+fn take_event_without_id() {
+    let mut splitter = Splitter::new(0, Numbering::Consecutive);
+    let stream = b"id: 1\n\nix: 2\n\nid: 3\n\n: comment\n\nid: 4\n\ndata: end\n\n";
+    splitter.push(stream);
+    assert_eq!(&splitter.take().unwrap()[..], stream);
+}
+
 /// Text without an id where the rest of a stream is due.
 #[test]
 fn take_text_that_does_not_resume() {
-    let mut splitter = Splitter::new(0);
+    let mut splitter = Splitter::new(0, Numbering::Consecutive);
     splitter.push(b"id: 1\n\nid: 2\nda");
     assert_eq!(&splitter.take().unwrap()[..], b"id: 1\n\n");
     splitter.restart();
