A planned stop refuses late requests and answers those still open at its end

Callers saw: after SIGTERM in calm, a booking whose last byte came 3.5 s later was passed on and run, and its connection was closed without an answer half a second before the end of the grace period. A head that had begun on a kept connection was closed unread.

Cause: requests were admitted whenever they were complete; only new connections were refused. The process exited with requests open. hyper takes a kept connection without a complete head for idle.

Ruled out: refusing everything from the signal on (the platform sends connections for two more probes), waiting for the last answer (the process is killed). How long a request will take isn't known in advance.

Now: balance::drain gives the schedule. What is complete later than 2.5 s after the signal gets 503 with Retry-After 0; what is open 0.3 s before the forced stop gets 502 if it may have run, else 503; no attempt begins after that; a head that has begun is read.

Passed now, with the other tests of the gateway.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -17,6 +17,7 @@
 use crate::config::{Config, Unmatched};
 use crate::content::{Kind, Server};
 use crate::crash::Register;
+use crate::drain::Drain;
 use crate::freshness;
 use crate::hold;
 use crate::member::Member;
@@ -131,7 +132,8 @@
     peer_era: u64,
     /// Whether another entry has reported all crashes that it knows.
     informed: bool,
-    leaving: bool,
+    /// The planned stop, if it has begun.
+    drain: Option<Drain>,
 }
 
 impl Balancer {
@@ -154,13 +156,13 @@
             store_replies: BTreeMap::new(),
             peer_era: 0,
             informed: false,
-            leaving: false,
+            drain: None,
         }
     }
 
     /// Whether the entry isn't shutting down and has a configuration and servers.
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.view.config().is_some() && self.view.is_known(Kind::Server)
+        self.drain.is_none() && self.view.config().is_some() && self.view.is_known(Kind::Server)
     }
 
     /// Applies changed limits.
@@ -174,14 +176,15 @@
         self.options.freshness.watch_timeout(kind)
     }
 
-    /// Begins the shutdown of the entry: it is no longer ready.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Begins a planned stop of the entry, whose process is killed after `grace`: it is
+    /// no longer ready. Returns the schedule.
+    pub fn leave(&mut self, now: Duration, grace: Duration) -> Drain {
+        *self.drain.insert(Drain::new(now, grace))
     }
 
     /// Whether the entry is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.drain.is_some()
     }
 
     /// The configuration in force at this entry.
@@ -279,6 +282,9 @@
     ///
     /// The final response, if the request can't be admitted.
     pub fn admit(&mut self, now: Duration, submission: &Submission<'_>) -> Result<Ticket, Refusal> {
+        if self.drain.is_some_and(|drain| !drain.accepts(now)) {
+            return Err(self.refuse_not_run(Reason::Leaving, submission.caller_timeout));
+        }
         let Some(config) = self.view.config() else {
             return Err(self.refuse_unconfigured(submission.caller_timeout));
         };
--- a/components/balance/src/balancer/peers.rs
+++ b/components/balance/src/balancer/peers.rs
@@ -223,7 +223,7 @@
             crashes: self.crashes.report(),
             suspects: self.suspects.report(now, scope),
             departing: self.notices.leaving_starts(),
-            leaving: self.leaving,
+            leaving: self.is_leaving(),
         })
     }
 }
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -49,6 +49,9 @@
 
     /// Decides on another attempt for a ticket whose last one failed.
     pub fn retry(&mut self, now: Duration, ticket: &mut Ticket) -> Decision {
+        if self.drain.is_some_and(|drain| drain.is_over(now)) {
+            return Decision::Stop(self.refuse(now, ticket, Reason::Leaving));
+        }
         if now + MIN_ATTEMPT_TIME >= ticket.deadline {
             return Decision::Stop(self.refuse(now, ticket, Reason::DeadlineExceeded));
         }
@@ -96,6 +99,9 @@
     }
 
     fn reason_to_stop(&self, now: Duration, ticket: &Ticket, outcome: Outcome) -> Option<Reason> {
+        if outcome == Outcome::Stopped {
+            return Some(Reason::Leaving);
+        }
         if outcome == Outcome::DeadlineExceeded || now + MIN_ATTEMPT_TIME >= ticket.deadline {
             return Some(Reason::DeadlineExceeded);
         }
@@ -117,7 +123,10 @@
         let Some(member) = self.members.get_mut(name) else { return };
         match outcome {
             Outcome::Misdirected => member.record_misdirected(),
-            Outcome::Refused | Outcome::Unattributed | Outcome::DeadlineExceeded => {}
+            Outcome::Refused
+            | Outcome::Unattributed
+            | Outcome::DeadlineExceeded
+            | Outcome::Stopped => {}
             Outcome::TimedOut if member.server.group.is_some() => {
                 // All ranks of a group stall together: not counted against one.
             }
@@ -170,12 +179,20 @@
         reason: Reason,
         remaining: Option<Duration>,
     ) -> Refusal {
-        let outage = reason == Reason::NoServer;
-        let (least, most) = if outage { RETRY_AFTER_OUTAGE } else { RETRY_AFTER };
-        let mut wait = Duration::from_secs_f64(self.rng.random_range(least..most));
+        let mut wait = match reason {
+            // Other entries serve it at once.
+            Reason::Leaving => Duration::ZERO,
+            Reason::NoServer => self.draw_wait(RETRY_AFTER_OUTAGE),
+            _ => self.draw_wait(RETRY_AFTER),
+        };
         if let Some(remaining) = remaining {
             wait = wait.min(remaining.mul_f64(RETRY_AFTER_SHARE));
         }
         Refusal { reason, status: 503, retry_after: Some(wait) }
     }
+
+    /// Draws a time at random from a range in seconds.
+    fn draw_wait(&mut self, (least, most): (f64, f64)) -> Duration {
+        Duration::from_secs_f64(self.rng.random_range(least..most))
+    }
 }
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod content;
 pub mod crash;
+pub mod drain;
 pub mod freshness;
 pub mod gossip;
 pub mod hold;
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -128,6 +128,8 @@
     /// The deadline passed without a response.
     #[serde(rename = "expired")]
     DeadlineExceeded,
+    /// The entry stopped before there was a response.
+    Stopped,
 }
 
 /// Why a request was not answered by a backend server.
@@ -165,6 +167,9 @@
     #[error("the time for the request is over")]
     #[serde(rename = "expired")]
     DeadlineExceeded,
+    /// The entry stops.
+    #[error("the entry stops")]
+    Leaving,
     /// The request, or a part of its prompt, has reached the crash limit.
     #[error("the request crashed several backend servers")]
     Crashes,
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -79,6 +79,9 @@
     /// The deadline of the request has passed.
     #[error("the time is over")]
     DeadlineExceeded,
+    /// The entry stops, and no response has arrived.
+    #[error("the entry stops before there is a response")]
+    Stopped,
 }
 
 impl Error {
@@ -101,6 +104,7 @@
             | Error::Oversized { .. }
             | Error::Unreadable => Outcome::Failed,
             Error::TimedOut => Outcome::TimedOut,
+            Error::Stopped => Outcome::Stopped,
             _ => Outcome::Broken,
         }
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use balance::content::Kind;
 use balance::{Balancer, Options};
@@ -20,12 +20,8 @@
 use crate::shared::Shared;
 use crate::{front, operations, peers, reload, store};
 
-/// Time after the stop signal during which new requests are still served. The
-/// platform removes an entry after two failed readiness probes, 1 s apart.
-const DRAIN_DELAY: Duration = Duration::from_millis(2500);
-
-/// Time reserved for shutdown between the end of draining and the forced stop.
-const FORCED_STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time within which callers take their final responses before the process exits.
+const RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 /// Interval at which open requests are counted while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -118,17 +114,28 @@
     })
 }
 
-/// Reports the entry as not ready and waits for open requests to complete.
+/// Reports the entry as not ready and waits for open requests to complete. Those that
+/// can't complete before the forced stop get a final response.
 async fn drain(settings: &Settings, shared: &Shared, callers: &Listener) {
-    let started = Instant::now();
-    shared.leave();
-    log::info!(target: "entry", open = shared.open_requests(); "stopping");
-    actix_rt::time::sleep(DRAIN_DELAY.min(settings.grace / 2)).await;
+    let drain = shared.leave(settings.grace);
+    log::info!(target: "entry", open = shared.open_requests(),
+        grace_ms = settings.grace.as_millis() as u64; "stopping");
+    let until = |time: Duration| actix_rt::time::sleep(time.saturating_sub(shared.now()));
+    until(drain.accepts_until()).await;
     // Closes idle connections, since later requests on them could not complete.
     callers.stop();
-    // A connection is open until its caller has read the response.
+    wait_while_busy(shared, callers, drain.ends_at()).await;
+    if shared.open_requests() > 0 {
+        log::warn!(target: "entry", open = shared.open_requests(); "ending open requests");
+    }
+    shared.end_requests();
+    wait_while_busy(shared, callers, drain.ends_at() + RESPONSE_TIME).await;
+}
+
+/// Waits until all callers have read their responses, at most until `limit`.
+async fn wait_while_busy(shared: &Shared, callers: &Listener, limit: Duration) {
     let is_busy = || shared.open_requests() > 0 || callers.open() > 0;
-    while is_busy() && started.elapsed() + FORCED_STOP_MARGIN < settings.grace {
+    while is_busy() && shared.now() < limit {
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use balance::Balancer;
-use tokio::sync::Notify;
+use balance::drain::Drain;
+use tokio::sync::{Notify, watch};
 
 use crate::meter::Meter;
 use crate::quota::Quota;
@@ -15,6 +16,8 @@
     balancer: Mutex<Balancer>,
     started: Instant,
     open_requests: AtomicUsize,
+    /// Whether open requests have to end.
+    ending: watch::Sender<bool>,
     /// Notified when a trial of a prompt part starts. Other entries must learn of it
     /// before they start another.
     pub trial_started: Notify,
@@ -30,6 +33,7 @@
             balancer: Mutex::new(balancer),
             started: Instant::now(),
             open_requests: AtomicUsize::new(0),
+            ending: watch::Sender::new(false),
             trial_started: Notify::new(),
             meter,
             quota,
@@ -52,9 +56,21 @@
         self.balancer().is_leaving()
     }
 
-    /// Starts draining: the entry reports that it is not ready.
-    pub fn leave(&self) {
-        self.balancer().leave();
+    /// Begins a planned stop, `grace` before the process is killed: the entry reports
+    /// that it is not ready.
+    pub fn leave(&self, grace: Duration) -> Drain {
+        self.balancer().leave(self.now(), grace)
+    }
+
+    /// Ends all open requests: each gets its final response.
+    pub fn end_requests(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Completes when open requests have to end.
+    pub async fn wait_for_end(&self) {
+        // Fails only if the sender is dropped, which lives as long as `self`.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
     }
 
     /// Number of requests in progress.
--- a/components/gateway/src/timeout.rs
+++ b/components/gateway/src/timeout.rs
@@ -102,13 +102,18 @@
     /// # Errors
     ///
     /// [`Error::TimedOut`] if the limit has passed and another backend server may be
-    /// tried, otherwise [`Error::DeadlineExceeded`].
+    /// tried, otherwise [`Error::DeadlineExceeded`]; [`Error::Stopped`] if the entry ends
+    /// its open requests.
     pub async fn wait_for<T>(&mut self, future: impl Future<Output = T>) -> Result<T, Error> {
         let mut future = std::pin::pin!(future);
         loop {
             let wait = self.expires.saturating_sub(self.shared.now());
-            if let Ok(value) = actix_rt::time::timeout(wait, &mut future).await {
-                return Ok(value);
+            tokio::select! {
+                // A response that is there counts, also at the end.
+                biased;
+                value = &mut future => return Ok(value),
+                () = self.shared.wait_for_end() => return Err(Error::Stopped),
+                () = actix_rt::time::sleep(wait) => {}
             }
             let now = self.shared.now();
             if now >= self.deadline {
--- a/components/listener/src/connection.rs
+++ b/components/listener/src/connection.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// What the requests of a connection need to know of it.
+struct Accepted {
+    state: Rc<State>,
+    /// The limits when it was accepted.
+    limits: Limits,
+    /// Whether the listener stops.
+    stopped: watch::Receiver<bool>,
+}
+
 /// How a connection ended.
 enum End {
     /// By the caller, or after an error.
@@ -101,9 +110,11 @@
         let state = State::new(Framing::new(fields_max(&limits)));
         let stream = TokioIo::new(Stream { socket, state: state.clone() });
         let served = state.clone();
+        let stopped = self.stopped.clone();
         let service = service_fn(move |request| {
             served.phase.set(Phase::Request);
-            respond(handler.clone(), served.clone(), limits, request)
+            let accepted = Accepted { state: served.clone(), limits, stopped: stopped.clone() };
+            respond(handler.clone(), accepted, request)
         });
         let mut connection = builder(&limits).serve_connection(stream, service);
         loop {
@@ -114,6 +125,9 @@
                     (self.handler.on_rejection)(Rejection::Late);
                     return send_late(&connection.into_parts().io.into_inner().socket);
                 }
+                // hyper would close a kept connection without reading the rest of the
+                // head. `respond` closes it with the response.
+                End::Stopped if matches!(state.phase.get(), Phase::Head(_)) => {}
                 End::Stopped if !state.is_idle() => {
                     Pin::new(&mut connection).graceful_shutdown();
                 }
@@ -177,8 +191,7 @@
 
 async fn respond<S, F, B>(
     handler: Rc<Handler<S>>,
-    state: Rc<State>,
-    accepted_under: Limits,
+    connection: Accepted,
     request: Request<Incoming>,
 ) -> Result<Response<io::Response<B>>, Infallible>
 where
@@ -186,6 +199,7 @@
     F: Future<Output = Response<B>>,
     B: Body,
 {
+    let Accepted { state, limits, stopped } = connection;
     let length = state.framing.borrow_mut().take();
     let mut response = match check_head(&request, length, (handler.limits)().head) {
         Ok(()) => (handler.respond)(request).await.map(Some),
@@ -195,8 +209,9 @@
             response
         }
     };
-    if (handler.limits)().head > accepted_under.head {
-        // The next connection gets buffers for the raised limit.
+    // The next connection gets buffers for a raised limit.
+    let is_outgrown = (handler.limits)().head > limits.head;
+    if is_outgrown || *stopped.borrow() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| io::Response { body: body.map(Box::pin), state }))
--- a/components/listener/tests/listener.rs
+++ b/components/listener/tests/listener.rs
@@ -254,6 +254,31 @@
     assert!(TcpStream::connect(address).is_err());
 }
 
+/// A request whose head has begun is answered, also on a kept connection, and is the last
+/// one.
+#[rstest]
+#[case::fresh(0)]
+#[case::kept(1)]
+fn stop_completes_head(#[case] earlier: usize) {
+    let shared = Shared::new(1000, 5000, 20_000);
+    let (listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    for _ in 0..earlier {
+        stream.write_all(request(0).as_bytes()).unwrap();
+        assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
+    }
+    let text = request(0);
+    stream.write_all(&text.as_bytes()[..10]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    listener.stop();
+    std::thread::sleep(Duration::from_millis(100));
+    stream.write_all(&text.as_bytes()[10..]).unwrap();
+    let response = read(&mut stream);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+    wait_until(|| listener.open() == 0);
+}
+
 /// A caller reads a large response slowly; neither the idle timeout nor the stop cuts it.
 #[test]
 fn stop_completes_response_that_is_read_slowly() {
