A changed grace period is taken over by running gateways

Callers saw: after the platform shortened the grace period, the stop of an entry that had not been restarted went by the old one: the process was killed before it had answered its open requests.

Cause: the stop used the settings of the start; a reload took over limits and freshness only.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -89,6 +89,8 @@
     pub holds: hold::Bounds,
     /// Times within which changes in the store must take effect.
     pub freshness: freshness::Bounds,
+    /// Time between a stop signal and the forced stop.
+    pub grace: Duration,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -165,10 +167,11 @@
         self.drain.is_none() && self.view.config().is_some() && self.view.is_known(Kind::Server)
     }
 
-    /// Applies changed limits.
-    pub fn set_limits(&mut self, limits: Limits, freshness: freshness::Bounds) {
+    /// Applies changed limits. A stop that has begun keeps its schedule.
+    pub fn set_limits(&mut self, limits: Limits, freshness: freshness::Bounds, grace: Duration) {
         self.options.limits = limits;
         self.options.freshness = freshness;
+        self.options.grace = grace;
     }
 
     /// Longest wait of a watch for changes of a kind.
@@ -176,10 +179,9 @@
         self.options.freshness.watch_timeout(kind)
     }
 
-    /// Begins a planned stop of the entry, whose process is killed after `grace`: it is
-    /// no longer ready. Returns the schedule.
-    pub fn leave(&mut self, now: Duration, grace: Duration) -> Drain {
-        *self.drain.insert(Drain::new(now, grace))
+    /// Begins a planned stop of the entry: it is no longer ready. Returns the schedule.
+    pub fn leave(&mut self, now: Duration) -> Drain {
+        *self.drain.insert(Drain::new(now, self.options.grace))
     }
 
     /// Whether the entry is shutting down.
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -24,6 +24,7 @@
         limits: balance::Limits { retry_ratio: 0.2, retry_slack: 30.0, retry_window: ms(10_000) },
         holds: balance::hold::Bounds::default(),
         freshness: balance::freshness::Bounds::default(),
+        grace: ms(8000),
         seed: 7,
     })
 }
--- a/components/balance/tests/drain.rs
+++ b/components/balance/tests/drain.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 
 use balance::drain::Drain;
-use balance::{Decision, Outcome, Reason};
+use balance::freshness::Bounds;
+use balance::{Decision, Limits, Outcome, Reason};
 use common::*;
 use rstest::rstest;
 
 const STOPPED_AT: Duration = Duration::from_secs(60);
 
+const LIMITS: Limits =
+    Limits { retry_ratio: 0.2, retry_slack: 30.0, retry_window: Duration::from_secs(10) };
+
 #[rstest]
 #[case::usual(8000, 2500, 7700)]
 #[case::long(60_000, 2500, 59_700)]
@@ -32,7 +36,7 @@
 #[case::at_the_end(7900, Some(Reason::Leaving))]
 fn admit_until_drain_closes(#[case] after: u64, #[case] reason: Option<Reason>) {
     let mut balancer = ready(&[("d0", server("web", "a", 1))]);
-    balancer.leave(STOPPED_AT, ms(8000));
+    balancer.leave(STOPPED_AT);
     let admitted = balancer.admit(STOPPED_AT + ms(after), &submission("/once/book"));
     let refusal = admitted.err();
     assert_eq!(refusal.map(|refusal| refusal.reason), reason);
@@ -53,7 +57,8 @@
     let mut balancer = ready(&servers);
     let mut ticket = balancer.admit(STOPPED_AT, &submission(path)).unwrap();
     balancer.choose(STOPPED_AT, &mut ticket).unwrap();
-    let drain = balancer.leave(STOPPED_AT, ms(3000));
+    balancer.set_limits(LIMITS, Bounds::default(), ms(3000));
+    let drain = balancer.leave(STOPPED_AT);
     let decision = balancer.fail(drain.ends_at(), &mut ticket, outcome);
     let Decision::Stop(refusal) = decision else { panic!("{decision:?}") };
     assert_eq!((refusal.reason, refusal.status), (Reason::Leaving, status));
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -37,11 +37,12 @@
         let unchanged = Settings {
             limits: current.limits,
             freshness: current.freshness,
+            grace: current.grace,
             seeds: current.seeds.clone(),
             ..changed.clone()
         };
         let needs_restart = unchanged != current;
-        shared.balancer().set_limits(changed.limits, changed.freshness);
+        shared.balancer().set_limits(changed.limits, changed.freshness, changed.grace);
         log::info!(target: "settings", needs_restart = needs_restart; "settings taken over");
         current = changed;
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -49,6 +49,7 @@
         limits: settings.limits,
         holds: settings.holds,
         freshness: settings.freshness,
+        grace: settings.grace,
         seed: incarnation,
     });
     let self_description = balancer.self_description();
@@ -75,7 +76,7 @@
     log::info!(target: "entry", name:% = settings.name, zone:% = settings.zone,
         listen:% = settings.listen, incarnation = incarnation; "started");
     stop.await;
-    drain(&settings, &shared, &callers).await;
+    drain(&shared, &callers).await;
     log::info!(target: "entry", name:% = settings.name, open = shared.open_requests(); "stopped");
     log::logger().flush();
     Ok(())
@@ -116,10 +117,11 @@
 
 /// Reports the entry as not ready and waits for open requests to complete. Those that
 /// can't complete before the forced stop get a final response.
-async fn drain(settings: &Settings, shared: &Shared, callers: &Listener) {
-    let drain = shared.leave(settings.grace);
+async fn drain(shared: &Shared, callers: &Listener) {
+    let drain = shared.leave();
+    let ends_in = drain.ends_at().saturating_sub(shared.now());
     log::info!(target: "entry", open = shared.open_requests(),
-        grace_ms = settings.grace.as_millis() as u64; "stopping");
+        ends_in_ms = ends_in.as_millis() as u64; "stopping");
     let until = |time: Duration| actix_rt::time::sleep(time.saturating_sub(shared.now()));
     until(drain.accepts_until()).await;
     // Closes idle connections, since later requests on them could not complete.
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -56,10 +56,9 @@
         self.balancer().is_leaving()
     }
 
-    /// Begins a planned stop, `grace` before the process is killed: the entry reports
-    /// that it is not ready.
-    pub fn leave(&self, grace: Duration) -> Drain {
-        self.balancer().leave(self.now(), grace)
+    /// Begins a planned stop: the entry reports that it is not ready.
+    pub fn leave(&self) -> Drain {
+        self.balancer().leave(self.now())
     }
 
     /// Ends all open requests: each gets its final response.
--- a/components/gateway/tests/restore_world/mod.rs
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -438,6 +438,7 @@
         },
         holds: balance::hold::Bounds::default(),
         freshness: balance::freshness::Bounds::default(),
+        grace: Duration::from_secs(8),
         seed,
     };
     Entry {
