Entry: requests open at the end of its drain time get a final answer

Callers saw (the product's own entry): a booking that takes longer than the drain time of a stopping entry ended with the connection, without an answer.

Cause: after the drain time the process stopped its listener with requests open.

Now the router ends all open requests: 502 with ran = may_have_run if an attempt is in progress, 503 with not_run otherwise, an error event in streams.

Failed before, on the parent: stop_answers_open_bookings, 1 of 1 ("an answer": none came). Passed now, stop tests 4 of 4.

--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -73,6 +73,11 @@
     pub drained: oneshot::Sender<()>,
 }
 
+/// The process stops now: open requests get their final answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct End;
+
 /// Asks whether the entry is ready to serve requests.
 #[derive(Message)]
 #[rtype(result = "bool")]
@@ -227,6 +232,15 @@
     }
 }
 
+impl Handler<End> for Core {
+    type Result = ();
+
+    fn handle(&mut self, _: End, _: &mut Context<Core>) {
+        log::warn!("ending {} open requests", self.router.open());
+        self.step(Input::End);
+    }
+}
+
 impl Handler<Ready> for Core {
     type Result = bool;
 
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use wire::{Link, Sender};
 
-use crate::core::{Core, Inbound, Leave, PlatformUpdate, Retire};
+use crate::core::{Core, End, Inbound, Leave, PlatformUpdate, Retire};
 use crate::http::{self, Shared};
 use crate::meter::Meter;
 use crate::operations;
@@ -81,7 +81,7 @@
 }
 
 /// Reports not ready for `linger`, then refuses new requests and waits until
-/// the open ones are answered.
+/// the open ones are answered, those that take too long with a problem.
 async fn drain(settings: &Settings, core: &Addr<Core>) {
     let (drained, wait) = oneshot::channel();
     core.do_send(Retire);
@@ -93,5 +93,6 @@
             "drain timeout of {:?} exceeded with requests still open",
             settings.drain_timeout
         );
+        core.do_send(End);
     }
 }
--- a/components/routing/src/problem.rs
+++ b/components/routing/src/problem.rs
@@ -68,6 +68,7 @@
             Code::Malformed => 400,
             Code::TooLarge => 413,
             Code::Deadline => 504,
+            Code::Leaving if self.execution != Execution::NotRun => 502,
             Code::Overloaded | Code::Leaving => 503,
             Code::Refused(reason) => refused_status(reason),
         }
--- a/components/routing/src/router/mod.rs
+++ b/components/routing/src/router/mod.rs
@@ -64,6 +64,8 @@
     Hosts(u64, Vec<Host>),
     /// The process is shutting down.
     Leave,
+    /// The process stops now: open requests get their final answer.
+    End,
     /// Periodic tick, on which all timers are checked.
     Tick,
 }
@@ -199,6 +201,7 @@
             }
             Input::Hosts(revision, hosts) => self.update_hosts(revision, hosts, &mut outputs),
             Input::Leave => self.leaving = true,
+            Input::End => self.end_all(now, &mut outputs),
             Input::Tick => self.tick(now, &mut outputs),
         }
         if self.leaving && !self.drained && self.requests.is_empty() {
--- a/components/routing/src/router/retry.rs
+++ b/components/routing/src/router/retry.rs
@@ -147,15 +147,33 @@
 
     /// Ends a request whose deadline has passed.
     pub(super) fn expire(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
+        self.end_request(now, id, Code::Deadline, Reason::DeadlineExceeded, outputs);
+    }
+
+    /// Ends all requests, as the process stops.
+    pub(super) fn end_all(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.end_request(now, id, Code::Leaving, Reason::Leaving, outputs);
+        }
+    }
+
+    /// Ends a request, also one with an attempt in progress.
+    fn end_request(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        code: Code,
+        reason: Reason,
+        outputs: &mut Vec<Output>,
+    ) {
         let Some(request) = self.requests.remove(&id) else { return };
         self.cancel_attempt(now, &request, outputs);
         self.counters.problems += 1;
         let execution =
             if request.attempt.is_some() { Execution::MayHaveRun } else { request.execution };
-        let reason = Reason::DeadlineExceeded;
         self.trace.record(now, id, Note::GivenUp { reason, execution });
-        let problem =
-            Problem { code: Code::Deadline, execution, retry_after: expired_retry_after(&request) };
+        let problem = Problem { code, execution, retry_after: expired_retry_after(&request) };
         outputs.push(Output::Answer(id, Part::Problem(problem)));
     }
 
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -109,6 +109,8 @@
     pub service: service::Settings,
     /// Settings of the platform.
     pub platform: platform::Settings,
+    /// Time that a stopping entry gives its open requests.
+    pub drain: Duration,
 }
 
 impl Default for Plan {
@@ -120,6 +122,7 @@
             engine: engine::Settings::default(),
             service: service::Settings::default(),
             platform: platform::Settings::default(),
+            drain: Duration::from_secs(20),
         }
     }
 }
@@ -159,7 +162,7 @@
         };
         let entry_links: Vec<Name> = plan.entries.iter().map(|name| links[name].clone()).collect();
         for name in &plan.entries {
-            cluster.add_entry(name, &links[name], &entry_links);
+            cluster.add_entry(name, &links[name], &entry_links, plan.drain);
         }
         for (name, zone) in &plan.engines {
             let handle = engine::serve(plan.engine.clone()).expect("an engine starts");
@@ -287,13 +290,13 @@
         }
     }
 
-    fn add_entry(&mut self, name: &'static str, link: &Name, peers: &[Name]) {
+    fn add_entry(&mut self, name: &'static str, link: &Name, peers: &[Name], drain: Duration) {
         let (listen, operations) = (port::free(), port::free());
         let settings = json!({
             "name": name, "zone": "accra-1", "listen": listen, "operations": operations,
             "link": link, "peers": peers, "platform": [self.platform.url()],
             "watch": {"interval_ms": 200, "hosts_interval_ms": 500, "backoff_max_ms": 500},
-            "linger_ms": 200, "drain_ms": 20_000,
+            "linger_ms": 200, "drain_ms": drain.as_millis() as u64,
         });
         let process = Process::start(&["wisteria-entry"], name, &settings);
         self.entries
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -108,6 +108,24 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Bookings that take longer than the stop of their entry were cut without an answer.
+#[actix_rt::test]
+async fn stop_answers_open_bookings() {
+    let plan = Plan { drain: Duration::from_secs(1), ..Plan::pairs(EXIT_LIMIT) };
+    let mut cluster = Cluster::start(plan).await;
+    let url = cluster.url("entry-1");
+    let task = actix_rt::spawn(async move { caller::book(&url, "key-1", "bench 4").await });
+    wait_for("a run of the booking", || async { (cluster.runs("key-1") == 1).then_some(()) }).await;
+    cluster.entries["entry-1"].process.signal("TERM");
+    let reply = task.await.unwrap().expect("an answer");
+    assert_eq!(reply.status, 502, "{}", String::from_utf8_lossy(&reply.body));
+    assert!(reply.complete);
+    assert_eq!(reply.execution().as_deref(), Some("may_have_run"));
+    let entry = cluster.entries.get_mut("entry-1").unwrap();
+    let status = entry.process.wait(EXIT_LIMIT).expect("the entry ends within its bound");
+    assert_eq!(status.code(), Some(0));
+}
+
 #[actix_rt::test]
 async fn drain_agents_under_load() {
     let mut cluster = Cluster::start(Plan::pairs(BOOKING)).await;
