An answer of a stated length on a stream's route is whole at that length

Cause: any success on a route of streams was relayed event by event. One with a length and no media type whose body isn't events never has a complete event; its end was taken for a break, the head had already been sent, and no further server was left. Nothing false was passed on as whole.

Now an answer with a length that isn't declared as text/event-stream is read whole before the caller gets its head, so that a failure can still be mended at another server; it is passed on unchanged. Streams without a length, or with their media type, are relayed as before.

Ruled out: the cut itself (18 cuts of 106 bytes, before and in the status line, the fields and the last byte, on streams, bookings and plain requests: none taken for an answer).

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -370,10 +370,11 @@
         if let Some(keep_alive) = read_answer(&response).keep_alive {
             connection.set_idle_limit(keep_alive);
         }
-        let begins_stream = self.ticket.kind.is_stream() && response.status().is_success();
-        self.stream_head = begins_stream.then(|| StreamHead::new(&response));
+        let may_stream = self.ticket.kind.is_stream() && response.status().is_success();
+        self.stream_head =
+            may_stream.then(|| StreamHead::new(&response)).filter(StreamHead::is_stream);
         let (head, body) = response.into_parts();
-        if begins_stream {
+        if self.stream_head.is_some() {
             self.source = Some(Source::new(connection, &head, body));
             return Ok(Disposition::Stream(head));
         }
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -6,7 +6,7 @@
 use balance::{Decision, Reason, Refusal};
 use bytes::Bytes;
 use connection::Connection;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
@@ -36,7 +36,7 @@
 
 impl Source {
     pub(super) fn new(connection: Connection, head: &Parts, body: Incoming) -> Source {
-        let delimiters = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+        let delimiters = [CONTENT_LENGTH, TRANSFER_ENCODING];
         let until_close = !delimiters.iter().any(|name| head.headers.contains_key(name));
         Source { connection, body, until_close }
     }
@@ -48,6 +48,8 @@
     status: StatusCode,
     /// Media type, in lower case and without parameters.
     media_type: Option<String>,
+    /// Whether the length of the body is stated.
+    has_length: bool,
 }
 
 impl StreamHead {
@@ -55,7 +57,14 @@
         let value = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let essence = value.and_then(|value| value.split(';').next());
         let media_type = essence.map(|essence| essence.trim().to_ascii_lowercase());
-        StreamHead { status: response.status(), media_type }
+        let has_length = response.headers().contains_key(CONTENT_LENGTH);
+        StreamHead { status: response.status(), media_type, has_length }
+    }
+
+    /// Whether the body is relayed event by event. One of a stated length that isn't
+    /// declared as events may be anything, and is whole once it has that length.
+    pub(super) fn is_stream(&self) -> bool {
+        !self.has_length || self.media_type.as_deref() == Some(EVENT_STREAM)
     }
 
     /// Whether a response with this head may be the rest of the stream. The first server
--- a/components/gateway/src/timeout.rs
+++ b/components/gateway/src/timeout.rs
@@ -71,7 +71,9 @@
         server: &'a Name,
     ) -> Result<Timeout<'a>, Error> {
         Timeout::with_limit(shared, ticket, server, |remaining| match ticket.kind {
-            Kind::Idempotent => remaining.mul_f64(BODY_TIME_SHARE),
+            Kind::Idempotent | Kind::Stream { resumable: true } => {
+                remaining.mul_f64(BODY_TIME_SHARE)
+            }
             _ => remaining,
         })
     }
