A watch without an answer is followed by a listing at once

Callers saw (the matter without a case; reproduced first): a store that leaves the watches of all entries unanswered and answers listings. A revoked key was accepted for 3.4 s, with a change during the watch for 2.7 s; 2 s are allowed.

Cause: a watch waited 0.9 s, its answer 0.8 s more, and the same watch was repeated before the first listing.

Now a watch is given up when the copy reaches the age up to which it counts as current (1.4 s of 2 s), and the copy is listed without a pause. Unanswered listings back off as before. fail_unanswered_twice_lists_again allowed the second watch; fail_unanswered_lists_at_once takes its place and asks for the listing after the first.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -174,9 +174,9 @@
         self.options.grace = grace;
     }
 
-    /// Longest wait of a watch for changes of a kind.
-    pub fn watch_timeout(&self, kind: Kind) -> Duration {
-        self.options.freshness.watch_timeout(kind)
+    /// Times within which changes in the store must take effect.
+    pub fn freshness(&self) -> freshness::Bounds {
+        self.options.freshness
     }
 
     /// Begins a planned stop of the entry: it is no longer ready. Returns the schedule.
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -5,6 +5,7 @@
 
 use balance::Update;
 use balance::content::Kind;
+use balance::freshness::Bounds;
 use balance::view::Delta;
 use platform::poller::{Call, Transition};
 use platform::{Error, Poller};
@@ -38,9 +39,9 @@
         poller.observe_era(era);
         let call = poller.call();
         let started = Instant::now();
-        let watch_timeout = shared.balancer().watch_timeout(kind);
+        let freshness = shared.balancer().freshness();
         let result = tokio::select! {
-            result = call_store(&store, kind, call, watch_timeout) => result,
+            result = call_store(&store, kind, call, freshness) => result,
             // A watch of an earlier era never returns changes.
             _ = store.wait_for_later_era(era), if call != Call::List => continue,
         };
@@ -94,11 +95,14 @@
     store: &Store,
     kind: Kind,
     call: Call,
-    watch_timeout: Duration,
+    freshness: Bounds,
 ) -> Result<Listed, Error> {
     match call {
         Call::List => store.list(kind).await,
-        Call::Watch(since) => store.watch(kind, since.revision, watch_timeout).await,
+        Call::Watch(since) => {
+            let (wait, limit) = (freshness.watch_timeout(kind), freshness.max_age(kind));
+            store.watch(kind, since.revision, wait, limit).await
+        }
     }
 }
 
--- a/components/platform/src/poller.rs
+++ b/components/platform/src/poller.rs
@@ -101,10 +101,12 @@
             return (Transition::None, Duration::ZERO);
         }
         self.failures += 1;
-        // The answer to the same watch only grows. A listing has nothing but the latest
-        // state.
-        let is_unanswered = *error == Error::Unknown && self.failures >= FAILURES_UNTIL_LOST;
-        if error.is_lasting() || is_unanswered {
+        // A store may answer listings and no watches, and the answer to the same watch only
+        // grows. The copy is already as old as the watch: it is listed at once.
+        if *error == Error::Unknown && self.current.take().is_some() {
+            return (self.transition(), Duration::ZERO);
+        }
+        if error.is_lasting() {
             self.current = None;
         }
         let bound = (BACKOFF_MIN * (1 << self.failures.min(8))).min(BACKOFF_MAX);
@@ -112,8 +114,11 @@
         if let Error::Busy { retry_after } = error {
             wait = wait.max((*retry_after).min(BACKOFF_MAX));
         }
-        let transition =
-            if self.failures == FAILURES_UNTIL_LOST { Transition::Lost } else { Transition::None };
-        (transition, wait)
+        (self.transition(), wait)
+    }
+
+    /// The change of the store's state after the latest failure.
+    fn transition(&self) -> Transition {
+        if self.failures == FAILURES_UNTIL_LOST { Transition::Lost } else { Transition::None }
     }
 }
--- a/components/platform/tests/poller.rs
+++ b/components/platform/tests/poller.rs
@@ -1,6 +1,8 @@
 //! Listings and watches across restores of the store.
 #![allow(clippy::unwrap_used)]
 
+use std::time::Duration;
+
 use platform::poller::{Call, Transition};
 use platform::{Error, Poller};
 use rstest::rstest;
@@ -53,14 +55,19 @@
     assert_eq!(poller.call(), Call::List);
 }
 
-/// The answer to a watch may take longer than the call, each time.
+/// A store that answers listings and no watches. A second watch would take the time within
+/// which a change must be in force.
 #[test]
-fn fail_unanswered_twice_lists_again() {
+fn fail_unanswered_lists_at_once() {
     let mut poller = listed_poller(1, 90);
-    poller.fail(&Error::Unknown);
-    assert_eq!(poller.call(), Call::Watch(position(1, 90)));
-    poller.fail(&Error::Unknown);
+    assert_eq!(poller.fail(&Error::Unknown), (Transition::None, Duration::ZERO));
     assert_eq!(poller.call(), Call::List);
+    // Unanswered listings back off.
+    for _ in 0..4 {
+        let (_, wait) = poller.fail(&Error::Unknown);
+        assert!(wait >= Duration::from_millis(100), "{wait:?}");
+        assert_eq!(poller.call(), Call::List);
+    }
 }
 
 #[test]
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -129,14 +129,21 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after the revision `since`.
+    /// Waits up to `wait` for changes of a kind after the revision `since`. The response
+    /// must arrive within `limit`, and at most a call's time after the wait.
     ///
     /// # Errors
     ///
     /// If no response arrives or it can't be decoded.
-    pub async fn watch(&self, kind: Kind, since: u64, wait: Duration) -> Result<Listed, Error> {
+    pub async fn watch(
+        &self,
+        kind: Kind,
+        since: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<Listed, Error> {
         let path = store::watch_path(kind, since, wait);
-        let (era, reply) = self.fetch(path, wait + CALL_TIMEOUT).await?;
+        let (era, reply) = self.fetch(path, limit.min(wait + CALL_TIMEOUT)).await?;
         let page = log_malformed(store::decode_changes(kind, reply.accept()?))?;
         Ok(Listed { position: page.position(era), page })
     }
