Agent: an answer in chunks is complete only with its last chunk

Cause: the HTTP client takes the end of a connection for the end of any body. The agent made up for it for bodies with a length and for streams only.

Now connections to the backend server report their end as an error; only a body with neither a length nor chunks, or a stream after its last event, ends with it. Ruled out: asking the client (it ends both bodies alike), hyper in its place (the house's client is awc).

The case of streams then also asked for a last chunk after the last event; it asks for the last event now, since a resumption after it would repeat it.

--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -6,11 +6,14 @@
 use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
+use awc::http::header::TRANSFER_ENCODING;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tables::{Name, PoolKind};
 use wire::Dispatch;
 
+use crate::stream;
+
 /// Content type of streamed answers.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Terminator of a server-sent event.
@@ -84,14 +87,19 @@
         name.eq_ignore_ascii_case("content-type") && value.starts_with(EVENT_STREAM)
     });
     let length = length(response.headers());
+    // Only the end of the connection ends a body without either.
+    let until_close = length.is_none() && !response.headers().contains_key(TRANSFER_ENCODING);
     event(Event::Head { status, headers });
     let mut pending = BytesMut::new();
     let mut size = 0;
-    // The HTTP client treats a closed connection as the end of the body, so
-    // truncation is detected here.
     let mut done = kind != PoolKind::Model || !streamed;
     while let Some(chunk) = response.next().await {
-        let Ok(data) = chunk else { return Event::Failed { handed: true } };
+        let data = match chunk {
+            Ok(data) => data,
+            // The last event of a stream says that it is whole.
+            Err(error) if stream::is_end(&error) && (until_close || streamed && done) => break,
+            Err(_) => return Event::Failed { handed: true },
+        };
         size += data.len();
         if !streamed {
             event(Event::Data { events: 0, data });
@@ -155,7 +163,10 @@
 
 /// A client for calls to the backend server.
 pub fn client() -> Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(CONNECTION_LIMIT);
+    let connector = awc::Connector::new()
+        .connector(stream::connector())
+        .timeout(CONNECT_TIMEOUT)
+        .limit(CONNECTION_LIMIT);
     Client::builder().connector(connector).disable_redirects().no_default_headers().finish()
 }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`State`] makes all decisions without I/O; an actor executes its effects.
 
-mod backend;
+pub mod backend;
 mod core;
 mod health;
 mod membership;
@@ -15,6 +15,7 @@
 mod settings;
 mod state;
 mod storage;
+mod stream;
 
 pub use membership::Membership;
 pub use run::run;
