--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -101,6 +101,7 @@
             Error::StaleConnection => Outcome::StaleConnection,
             Error::Failed { .. }
             | Error::NotResumed
+            | Error::Skipped { .. }
             | Error::Oversized { .. }
             | Error::Unreadable => Outcome::Failed,
             Error::TimedOut => Outcome::TimedOut,
