--- a/components/balance/src/balancer/choose.rs
+++ b/components/balance/src/balancer/choose.rs
@@ -81,7 +81,9 @@
         let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
         let engine = pool.and_then(|pool| pool.engine);
         let share = self.paces.get(&ticket.pool).map_or(1.0, |pace| pace.share(now));
+        let share = if ticket.urgency.is_some() { 1.0 } else { share };
         let context = Context { zone: &self.options.zone, engine: engine.as_ref(), share };
+        let full_groups = self.full_groups(now, ticket, engine.as_ref());
         let view = &self.view;
         let is_blocked =
             |start: &Start| self.notices.is_blocked(now, start) || view.is_held(now, start);
@@ -109,6 +111,7 @@
         let fastest = candidates.iter().map(slowness).fold(f64::INFINITY, f64::min);
         let has_capacity = |name: &&Name| {
             !choice::is_full(now, &self.members[*name], context)
+                && !full_groups.contains(&self.members[*name].group_name())
                 && !slow::is_too_slow(slowness(name), fastest)
         };
         let open = candidates.iter().filter(has_capacity).collect();
--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod peers;
 mod retry;
+mod wait;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,9 +24,12 @@
 use crate::member::Member;
 use crate::notice::{Notices, Start};
 use crate::pace::Pace;
+use crate::queue::Queue;
+use crate::room::Room;
 use crate::slow;
 use crate::suspect::{self, Scope, Standing};
 use crate::ticket::{Prompt, Reason, Refusal, Submission, Ticket};
+use crate::urgency::Scale;
 use crate::view::{Update, View};
 
 /// Share of the platform's retry budget that is used. The rest covers the time
@@ -119,6 +123,14 @@
     members: BTreeMap<Name, Member>,
     budgets: BTreeMap<Name, Budget>,
     paces: BTreeMap<Name, Pace>,
+    /// The pools whose requests differ in urgency.
+    scales: BTreeMap<Name, Scale>,
+    /// Room of the groups of these pools; `None` stands for engines without a group.
+    rooms: BTreeMap<(Name, Option<Name>), Room>,
+    /// Requests that wait for room in these pools.
+    queues: BTreeMap<Name, Queue>,
+    /// Number of requests that have waited.
+    waiters: u64,
     neighbours: BTreeMap<Name, Neighbour>,
     lags: BTreeMap<Kind, Lag>,
     crashes: Register,
@@ -148,6 +160,10 @@
             members: BTreeMap::new(),
             budgets: BTreeMap::new(),
             paces: BTreeMap::new(),
+            scales: BTreeMap::new(),
+            rooms: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            waiters: 0,
             neighbours: BTreeMap::new(),
             lags: BTreeMap::new(),
             crashes: Register::default(),
@@ -242,8 +258,10 @@
     /// Applies an update that the store has just sent. Returns whether anything
     /// changed.
     pub fn apply(&mut self, now: Duration, update: Update) -> bool {
+        let version = self.config().map(|config| config.version);
         let changed = self.view.apply(now, update);
         if changed {
+            self.refresh_scales(version);
             self.refresh_members(now);
         }
         changed
@@ -251,7 +269,9 @@
 
     /// Applies an update from another entry.
     fn apply_relayed(&mut self, now: Duration, update: Update) {
+        let version = self.config().map(|config| config.version);
         if self.view.apply_relayed(now, update) {
+            self.refresh_scales(version);
             self.refresh_members(now);
         }
     }
@@ -299,6 +319,7 @@
             .caller_timeout
             .map_or(route.timeout, |caller_timeout| caller_timeout.min(route.timeout));
         let shares = route.pools.clone();
+        let priorities = (account.map(|account| account.priority), route.priority);
         let mut ticket = Ticket {
             route: route.name.clone(),
             pool: Name::default(),
@@ -308,6 +329,9 @@
             deadline: now + time_limit,
             objective: route.objective,
             gap: route.gap,
+            urgency: None,
+            level: 0,
+            waiter: None,
             attempts_left: route.attempts.max(1),
             tried: Vec::new(),
             may_have_run: false,
@@ -321,6 +345,11 @@
             },
         };
         ticket.pool = self.draw_pool(&shares);
+        if let Some(scale) = self.scales.get(&ticket.pool) {
+            let urgency = scale.urgency(priorities.0, priorities.1);
+            ticket.urgency = Some(urgency);
+            ticket.level = scale.level(urgency);
+        }
         if self.crashes.is_blocked(now, submission.fingerprint) {
             return Err(self.refuse_not_run(Reason::Crashes, Some(time_limit)));
         }
@@ -386,10 +415,17 @@
         self.suspects.end_wait(prompt, server);
     }
 
-    /// Records an event of a stream that came `gap` after the previous one.
-    /// Returns the new fraction of the normal limit of open requests that the pool
-    /// accepts, if it changed.
-    pub fn record_gap(&mut self, now: Duration, pool: &Name, gap: Duration) -> Option<f64> {
+    /// Records an event that came from `server` `gap` after the previous one of its
+    /// stream. Returns the new fraction of the normal limit of open requests that the
+    /// pool accepts, if it changed.
+    pub fn record_gap(
+        &mut self,
+        now: Duration,
+        pool: &Name,
+        server: &str,
+        gap: Duration,
+    ) -> Option<f64> {
+        self.record_room(now, pool, server, gap);
         self.paces.entry(pool.clone()).or_default().record(now, gap)
     }
 
@@ -480,6 +516,8 @@
             "holds": self.view.hold_reports(now),
             "suspects": self.suspects.report(now, Scope::All),
             "pools": pools,
+            "rooms": self.room_report(now),
+            "queues": self.queue_report(),
             "members": members,
         })
     }
--- a/components/balance/src/balancer/retry.rs
+++ b/components/balance/src/balancer/retry.rs
@@ -171,7 +171,12 @@
         if let Standing::Blocked(wait) = self.standing(now, ticket) {
             return refuse_blocked(wait);
         }
-        self.refuse_not_run(reason, Some(ticket.deadline.saturating_sub(now)))
+        let remaining = ticket.deadline.saturating_sub(now);
+        if let Some(wait) = self.return_time(now, ticket, reason) {
+            let retry_after = Some(wait.min(remaining.mul_f64(RETRY_AFTER_SHARE)));
+            return Refusal { reason, status: 503, retry_after };
+        }
+        self.refuse_not_run(reason, Some(remaining))
     }
 
     pub(super) fn refuse_not_run(
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -19,11 +19,14 @@
 pub mod member;
 pub mod notice;
 pub mod pace;
+pub mod queue;
+pub mod room;
 pub mod slow;
 pub mod suspect;
 pub mod ticket;
+pub mod urgency;
 pub mod view;
 
 pub use balancer::{Balancer, Limits, Options};
-pub use ticket::{Decision, Outcome, Prompt, Reason, Refusal, Submission, Target, Ticket};
+pub use ticket::{Decision, Outcome, Placement, Prompt, Reason, Refusal, Submission, Target, Ticket};
 pub use view::{Update, View};
--- a/components/balance/src/member.rs
+++ b/components/balance/src/member.rs
@@ -99,6 +99,11 @@
         Start { server: name.clone(), started_ms: self.server.started_ms }
     }
 
+    /// Name of its group; `None` if it isn't a rank.
+    pub fn group_name(&self) -> Option<Name> {
+        self.server.group.as_ref().map(|group| group.name.clone())
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.warm_at
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -9,6 +9,7 @@
 
 use crate::config::Kind;
 use crate::notice::Start;
+use crate::urgency::Urgency;
 
 /// The parts of a caller's request that decisions need.
 #[derive(Clone, Debug)]
@@ -48,6 +49,12 @@
     pub objective: Duration,
     /// The route's objective for the gap between two events of a stream.
     pub gap: Option<Duration>,
+    /// Its urgency; `None` if all requests to the pool are equally urgent.
+    pub urgency: Option<Urgency>,
+    /// Number of urgencies of the pool's requests that are more urgent.
+    pub level: usize,
+    /// Its id in the queue of the pool while it waits for room.
+    pub waiter: Option<u64>,
     /// Number of attempts left.
     pub attempts_left: u32,
     /// Backend servers of the attempts so far.
@@ -151,6 +158,12 @@
     /// All backend servers have reached their limit of open requests.
     #[error("all backend servers are full")]
     Full,
+    /// The request has waited for room as long as its objective allows.
+    #[error("no room became free in time")]
+    Waited,
+    /// A more urgent request took its place in the queue.
+    #[error("a more urgent request took the place in the queue")]
+    Displaced,
     /// All backend servers are cold and have reached their rate limit.
     #[error("the backend servers are cold and take no more for the moment")]
     Cold,
@@ -198,3 +211,14 @@
     /// Send the final response to the caller.
     Stop(Refusal),
 }
+
+/// What to do with a request that no backend server has yet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Placement {
+    /// Send it to this backend server.
+    Dispatch(Target),
+    /// It waits for room in the queue of its pool.
+    Wait,
+    /// Send the final response to the caller.
+    Refuse(Refusal),
+}
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use balance::Reason;
 use balance::content::Kind;
 use telemetry::{Counter, Gauge, Histogram, Metrics};
 
@@ -14,8 +15,22 @@
 const BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.6, 3.2, 8.0];
 
+/// Number of levels of urgency that are told apart. Less urgent ones count as the last.
+const LEVELS: usize = 10;
+
+/// Requests of a level of urgency that waited for room.
+struct Waits {
+    dispatched: Counter,
+    expired: Counter,
+    displaced: Counter,
+}
+
 /// Metric instruments of the entry.
 pub struct Meter {
+    /// Requests that waited, by level of urgency.
+    waits: Vec<Waits>,
+    /// Time for which requests waited for room.
+    pub wait_seconds: Histogram,
     /// Requests received.
     pub requests: Counter,
     /// Requests answered completely.
@@ -68,7 +83,21 @@
             let label = format!("{kind:?}");
             (kind, metrics.gauge("gateway_synced_age_seconds", help, &[("kind", &label)]))
         };
+        let waits = |level: usize| {
+            let level = level.to_string();
+            let waited = |outcome| {
+                let labels = [("level", level.as_str()), ("outcome", outcome)];
+                metrics.counter("gateway_waited", "Requests that waited for room", &labels)
+            };
+            Waits {
+                dispatched: waited("dispatched"),
+                expired: waited("expired"),
+                displaced: waited("displaced"),
+            }
+        };
         Meter {
+            waits: (0..LEVELS).map(waits).collect(),
+            wait_seconds: histogram("gateway_wait_seconds", "Time waited for room"),
             denied: DENIALS.into_iter().map(denied).collect(),
             synced_age: Kind::ALL.into_iter().map(synced_age).collect(),
             requests: counter("gateway_requests", "Requests that arrived"),
@@ -113,6 +142,16 @@
         }
     }
 
+    /// Counts a request that waited for room, and the reason if it was then refused.
+    pub fn record_wait(&self, level: usize, refused: Option<Reason>) {
+        let waits = &self.waits[level.min(LEVELS - 1)];
+        match refused {
+            None => waits.dispatched.add(1),
+            Some(Reason::Displaced) => waits.displaced.add(1),
+            Some(_) => waits.expired.add(1),
+        }
+    }
+
     /// Records the time since the copy of a kind was known to match the store.
     pub fn record_synced_age(&self, kind: Kind, age: Duration) {
         if let Some(gauge) = self.synced_age.get(&kind) {
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod stream;
 mod trial;
+mod wait;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -147,7 +148,7 @@
             Ok(ticket) => ticket,
             Err(refusal) => return Err((refusal, request)),
         };
-        let target = match trial::choose(&shared, &mut ticket).await {
+        let target = match wait::choose(&shared, &mut ticket).await {
             Ok(target) => target,
             Err(refusal) => return Err((refusal, request)),
         };
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -146,7 +146,12 @@
         let now = self.shared().now();
         if let Some(previous) = self.last_event_at.replace(now) {
             let gap = now - previous;
-            let share = self.shared().balancer().record_gap(now, &self.ticket.pool, gap);
+            let share = self.shared().balancer().record_gap(
+                now,
+                &self.ticket.pool,
+                &self.target.server,
+                gap,
+            );
             if let Some(share) = share {
                 log::info!(target: "limit", pool:% = self.ticket.pool, share = share,
                     gap_ms = gap.as_millis() as u64; "limit of open requests changed");
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -115,6 +115,10 @@
         if let Some(account) = &ticket.account {
             set(headers, header::ACCOUNT, account);
         }
+        if ticket.urgency.is_some() {
+            let priority = ticket.level.min(header::PRIORITY_MAX);
+            set(headers, header::PRIORITY, &priority.to_string());
+        }
         if let Some(last_event) = last_event {
             set(headers, header::LAST_EVENT, &last_event.to_string());
         }
