--- a/components/balance/src/balancer/wait.rs
+++ b/components/balance/src/balancer/wait.rs
@@ -219,11 +219,7 @@
         let Some(member) = self.members.get(server) else { return };
         let key = (pool.clone(), member.group_name());
         let is_due = self.rooms.get(&key).is_none_or(|room| room.is_count_due(now));
-        let running = if is_due {
-            self.mean_open(now, pool).get(&key.1).copied()
-        } else {
-            None
-        };
+        let running = if is_due { self.mean_open(now, pool).get(&key.1).copied() } else { None };
         self.rooms.entry(key).or_default().record(now, gap, running, &engine);
     }
 
@@ -236,7 +232,7 @@
             Some(serde_json::json!({
                 "pool": pool,
                 "group": group,
-                "long_gap_ms": room.long_gap().as_millis() as u64,
+                "stretch": room.stretch(),
                 "limit": room.limit(now, &engine, DEFAULT_ACCEPTED_GAP),
                 "open": open.get(pool).and_then(|open| open.get(group)),
             }))
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -28,5 +28,7 @@
 pub mod view;
 
 pub use balancer::{Balancer, Limits, Options};
-pub use ticket::{Decision, Outcome, Placement, Prompt, Reason, Refusal, Submission, Target, Ticket};
+pub use ticket::{
+    Decision, Outcome, Placement, Prompt, Reason, Refusal, Submission, Target, Ticket,
+};
 pub use view::{Update, View};
--- a/components/balance/src/queue.rs
+++ b/components/balance/src/queue.rs
@@ -173,8 +173,8 @@
     pub fn record_dispatch(&mut self, now: Duration) {
         if let Some(last) = self.last_dispatch.replace(now) {
             let interval = now.saturating_sub(last).min(INTERVAL_MAX);
-            self.interval = self.interval.mul_f64(1.0 - INTERVAL_WEIGHT)
-                + interval.mul_f64(INTERVAL_WEIGHT);
+            self.interval =
+                self.interval.mul_f64(1.0 - INTERVAL_WEIGHT) + interval.mul_f64(INTERVAL_WEIGHT);
         }
     }
 
--- a/components/balance/src/urgency.rs
+++ b/components/balance/src/urgency.rs
@@ -33,9 +33,8 @@
     /// assert!(!Scale::of(&Config::default(), "models").is_graded());
     /// ```
     pub fn of(config: &Config, pool: &str) -> Scale {
-        let sends = |route: &&Route| {
-            route.pools.iter().any(|(name, weight)| *name == pool && *weight > 0)
-        };
+        let sends =
+            |route: &&Route| route.pools.iter().any(|(name, weight)| *name == pool && *weight > 0);
         let routes: BTreeSet<u32> =
             config.routes.iter().filter(sends).map(|route| route.priority).collect();
         let mut accounts: BTreeSet<u32> =
