--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -5,6 +5,8 @@
 mod retry;
 mod wait;
 
+pub use wait::Crowding;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/components/balance/src/balancer/wait.rs
+++ b/components/balance/src/balancer/wait.rs
@@ -33,6 +33,17 @@
 /// Range of the random factor of a `Retry-After` time.
 const RETURN_SPREAD: (f64, f64) = (1.0, 1.5);
 
+/// The load of a pool as a gateway knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Crowding {
+    /// Requests that wait for the pool at this entry.
+    pub waiting: usize,
+    /// Mean number of open requests of the ranks of the least loaded group.
+    pub open: f64,
+    /// Age of the oldest heartbeat that this is based on.
+    pub report_age: Duration,
+}
+
 impl Balancer {
     /// Decides on a request that no backend server has yet. To be called again for one
     /// that waits, until it is dispatched or refused.
@@ -223,6 +234,17 @@
         self.rooms.entry(key).or_default().record(now, gap, running, &engine);
     }
 
+    /// What a refusal for lack of room was decided by.
+    pub fn crowding(&self, now: Duration, ticket: &Ticket) -> Crowding {
+        let open = self.mean_open(now, &ticket.pool);
+        let heard = self.neighbours.values().map(|other| now.saturating_sub(other.last_seen));
+        Crowding {
+            waiting: self.queues.get(&ticket.pool).map_or(0, Queue::len),
+            open: open.values().copied().fold(f64::INFINITY, f64::min),
+            report_age: heard.max().unwrap_or_default(),
+        }
+    }
+
     /// Room of each group for a dump.
     pub(super) fn room_report(&self, now: Duration) -> serde_json::Value {
         let open: BTreeMap<&Name, _> =
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -322,7 +322,7 @@
     assert!(!balancer.is_slow(ms(1000), "models", "r1"), "no stream yet");
     let pass = |balancer: &mut balance::Balancer, from, gap, passes| {
         for step in 1..=passes {
-            balancer.record_gap(ms(from + gap * step), &pool, ms(gap));
+            balancer.record_gap(ms(from + gap * step), &pool, "r1", ms(gap));
         }
         from + gap * passes
     };
@@ -340,7 +340,7 @@
 fn is_slow_stalled_pool() {
     let mut balancer = ready(&[("r1", rank(1, true)), ("r2", rank(2, true))]);
     let (_, one) = sent(&mut balancer, ms(2000), "/stream/notes");
-    balancer.record_gap(ms(2000), &"models".into(), ms(50));
+    balancer.record_gap(ms(2000), &"models".into(), "r1", ms(50));
     assert!(!balancer.is_slow(ms(3700), "models", &one));
     let (_, other) = sent(&mut balancer, ms(2000), "/stream/notes");
     assert_ne!(one, other);
@@ -371,13 +371,13 @@
     let pool = "models".into();
     let normal = open(&mut balancer, 1000);
     for step in 1..=10 {
-        balancer.record_gap(ms(1000 + 800 * step), &pool, ms(800));
+        balancer.record_gap(ms(1000 + 800 * step), &pool, "r1", ms(800));
     }
     let long = open(&mut balancer, 9000);
     assert!(long < normal / 2, "{long} of {normal}");
     assert!(long >= 2, "half of the four slots");
     for step in 1..=120 {
-        balancer.record_gap(ms(9000 + 50 * step), &pool, ms(50));
+        balancer.record_gap(ms(9000 + 50 * step), &pool, "r1", ms(50));
     }
     assert_eq!(open(&mut balancer, 15_000), normal);
 }
@@ -393,7 +393,8 @@
     balancer.apply(ms(10), configured(20, config));
     let (_, server) = sent(&mut balancer, ms(1000), "/stream/notes");
     balancer.release(&server);
-    let shares = (1..=20)
-        .filter_map(|step| balancer.record_gap(ms(1000 + 500 * step), &"models".into(), ms(250)));
+    let shares = (1..=20).filter_map(|step| {
+        balancer.record_gap(ms(1000 + 500 * step), &"models".into(), "r1", ms(250))
+    });
     assert_eq!(shares.count() > 0, fewer);
 }
--- a/components/balance/tests/slow.rs
+++ b/components/balance/tests/slow.rs
@@ -82,7 +82,7 @@
         balancer.release(&server);
     };
     for event in 1..60 {
-        balancer.record_gap(ms(10 + event), &"models".into(), gap);
+        balancer.record_gap(ms(10 + event), &"models".into(), "r1", gap);
     }
     ticket
 }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -148,7 +148,7 @@
             Ok(ticket) => ticket,
             Err(refusal) => return Err((refusal, request)),
         };
-        let target = match wait::choose(&shared, &mut ticket).await {
+        let target = match wait::choose(&shared, &request.id, &mut ticket).await {
             Ok(target) => target,
             Err(refusal) => return Err((refusal, request)),
         };
--- a/components/gateway/src/relay/wait.rs
+++ b/components/gateway/src/relay/wait.rs
@@ -39,7 +39,11 @@
 
 /// Chooses the first backend server. A request with a suspected prompt part waits for
 /// the trial of that part, and one whose pool has no room waits for its turn.
-pub(super) async fn choose(shared: &Shared, ticket: &mut Ticket) -> Result<Target, Refusal> {
+pub(super) async fn choose(
+    shared: &Shared,
+    id: &str,
+    ticket: &mut Ticket,
+) -> Result<Target, Refusal> {
     let place = Place { shared, ticket };
     let mut has_waited = false;
     loop {
@@ -48,6 +52,11 @@
                 if has_waited {
                     record_wait(shared, place.ticket, &chosen);
                 }
+                if let Err(refusal) = &chosen
+                    && place.ticket.urgency.is_some()
+                {
+                    log_refusal(shared, id, place.ticket, refusal);
+                }
                 return chosen;
             }
             Step::Trial => actix_rt::time::sleep(TRIAL_POLL_INTERVAL).await,
@@ -79,3 +88,14 @@
     shared.meter.wait_seconds.record(wait.as_secs_f64());
     shared.meter.record_wait(ticket.level, chosen.as_ref().err().map(|refusal| refusal.reason));
 }
+
+/// Logs what a refusal was decided by.
+fn log_refusal(shared: &Shared, id: &str, ticket: &Ticket, refusal: &Refusal) {
+    let now = shared.now();
+    let crowding = shared.balancer().crowding(now, ticket);
+    log::info!(target: "request", id:% = id, pool:% = ticket.pool, route:% = ticket.route,
+        level = ticket.level, reason:% = refusal.reason,
+        age_ms = now.saturating_sub(ticket.arrived).as_millis() as u64,
+        waiting = crowding.waiting, open = crowding.open,
+        report_age_ms = crowding.report_age.as_millis() as u64; "no room");
+}
