Settings: faults of one text's shape, and places of chosen values

The check of a stored configuration needs the faults of single entries and the places of a few values in a text of several megabytes. shape_faults returns the former without a file; locate indexes only the values asked for and those that enclose them.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -14,4 +14,5 @@
 
 pub use error::Error;
 pub use fault::{Check, Fault, Reason};
-pub use load::{load, parse};
+pub use load::{load, parse, shape_faults};
+pub use location::locate;
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -86,6 +86,24 @@
     Err(fault_error(name, text, &locations, faults))
 }
 
+/// The faults for which `text` does not deserialize as `T`: missing and repeated
+/// fields and values of the wrong type. Empty if it deserializes or is not JSON.
+///
+/// ```
+/// let faults = settings::shape_faults::<Vec<u8>>(r#"[1, "a", -1]"#);
+/// let pointers: Vec<_> = faults.iter().map(|fault| fault.pointer.as_str()).collect();
+/// assert_eq!(pointers, ["/1", "/2"]);
+/// ```
+pub fn shape_faults<T: DeserializeOwned>(text: &str) -> Vec<Fault> {
+    if serde_json::from_str::<T>(text).is_ok() {
+        return Vec::new();
+    }
+    let Ok(value) = serde_json::from_str::<Value>(text) else { return Vec::new() };
+    let mut faults = repeated_fields(&Locations::new(text));
+    faults.extend(diagnose::<T>(value).faults);
+    faults
+}
+
 fn syntax_error(name: &str, text: &str, cause: serde_json::Error) -> Error {
     let before = text.split_inclusive('\n').take(cause.line().saturating_sub(1));
     let line_start: usize = before.map(str::len).sum();
--- a/components/settings/src/location.rs
+++ b/components/settings/src/location.rs
@@ -3,7 +3,7 @@
 //! The text is split into `serde_json` raw values, which borrow from it, so the
 //! offset of a value is the address difference between its slice and the text.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::ops::Range;
 
@@ -26,15 +26,37 @@
     by_pointer: HashMap<String, Location>,
     /// Pointer and location of each repetition of a field.
     pub repeated: Vec<(String, Location)>,
+    /// The pointers to index; all if `None`.
+    selected: Option<HashSet<String>>,
 }
 
 impl Locations {
     /// Indexes a text that is known to be valid JSON.
     pub fn new(text: &str) -> Self {
         let mut locations = Self::default();
+        locations.index_root(text);
+        locations
+    }
+
+    fn index_root(&mut self, text: &str) {
         let start = text.len() - text.trim_start().len();
         let value = start..text.trim_end().len();
-        locations.index_value(text, String::new(), Location { key: None, value });
+        self.index_value(text, String::new(), Location { key: None, value });
+    }
+
+    /// Indexes only the values at `pointers` and those that enclose them, so that
+    /// the cost depends on the number of pointers more than on that of values.
+    fn select(text: &str, pointers: &[&str]) -> Self {
+        let mut selected = HashSet::new();
+        for pointer in pointers {
+            let mut pointer = *pointer;
+            while selected.insert(pointer.to_owned()) {
+                let Some(end) = pointer.rfind('/') else { break };
+                pointer = &pointer[..end];
+            }
+        }
+        let mut locations = Self { selected: Some(selected), ..Self::default() };
+        locations.index_root(text);
         locations
     }
 
@@ -68,6 +90,9 @@
     }
 
     fn index_value(&mut self, text: &str, pointer: String, location: Location) {
+        if self.selected.as_ref().is_some_and(|selected| !selected.contains(&pointer)) {
+            return;
+        }
         let slice = &text[location.value.clone()];
         match slice.as_bytes().first() {
             Some(b'{') => self.index_object(text, &pointer, slice),
@@ -98,6 +123,22 @@
     }
 }
 
+/// Byte ranges of the values at JSON pointers in a valid JSON text, in the order of
+/// `pointers`. A pointer to a value that does not exist gives the innermost existing
+/// value that encloses it. The text must not be nested deeper than `serde_json`
+/// accepts for a [`serde_json::Value`].
+///
+/// ```
+/// let text = r#"{"port": 80}"#;
+/// let ranges = settings::locate(text, &["/port", "/host"]);
+/// assert_eq!((&text[ranges[0].clone()], ranges[1].clone()), ("80", 0..text.len()));
+/// ```
+pub fn locate(text: &str, pointers: &[&str]) -> Vec<Range<usize>> {
+    let locations = Locations::select(text, pointers);
+    let find = |pointer: &&str| locations.find(pointer).map(|location| location.value.clone());
+    pointers.iter().map(|pointer| find(pointer).unwrap_or_default()).collect()
+}
+
 /// JSON pointer of the field or array item `name` of the value at `pointer`.
 pub fn child_pointer(pointer: &str, name: &str) -> String {
     format!("{pointer}/{}", name.replace('~', "~0").replace('/', "~1"))
