--- a/bins/wisteria/src/action.rs
+++ b/bins/wisteria/src/action.rs
@@ -41,6 +41,13 @@
     Return,
 }
 
+/// Format of the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    Text,
+    Json,
+}
+
 impl FromStr for Edit {
     type Err = ActionError;
 
@@ -91,3 +98,15 @@
         }
     }
 }
+
+impl FromStr for Format {
+    type Err = ActionError;
+
+    fn from_str(text: &str) -> Result<Format, ActionError> {
+        match text {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            _ => Err(ActionError { expected: "text or json" }),
+        }
+    }
+}
--- a/bins/wisteria/src/cmd.rs
+++ b/bins/wisteria/src/cmd.rs
@@ -2,6 +2,7 @@
 
 pub mod accounts;
 pub mod apply;
+pub mod config;
 pub mod dump;
 pub mod explain;
 pub mod pools;
--- a/bins/wisteria/src/flags.rs
+++ b/bins/wisteria/src/flags.rs
@@ -7,7 +7,7 @@
 
 use std::path::PathBuf;
 
-use crate::action::{Edit, Review, Service, View};
+use crate::action::{Edit, Format, Review, Service, View};
 
 xflags::xflags! {
     src "./src/flags.rs"
@@ -102,6 +102,21 @@
             /// JSON: {"route": {NAME: {...}}, "pool": {NAME: {...}}, ...}
             required file: PathBuf
         }
+        /// Work on a stored configuration.
+        cmd config {
+            /// Check a configuration before it is written. Exit codes: 0 clean or
+            /// only warnings, 1 warnings with --strict, 2 errors.
+            cmd check {
+                /// The configuration (JSON), as the platform stores it.
+                required file: PathBuf
+                /// The version in force: show the differences from it.
+                optional --against file: PathBuf
+                /// Exit with 1 on warnings.
+                optional --strict
+                /// text | json
+                optional --format format: Format
+            }
+        }
         /// Show what is in service.
         cmd status {}
         /// Show the state of one process.
@@ -139,6 +154,7 @@
     Zone(Zone),
     Server(Server),
     Apply(Apply),
+    Config(Config),
     Status(Status),
     Dump(Dump),
     Explain(Explain),
@@ -206,6 +222,25 @@
     pub file: PathBuf,
 }
 
+#[derive(Debug)]
+pub struct Config {
+    pub subcommand: ConfigCmd,
+}
+
+#[derive(Debug)]
+pub enum ConfigCmd {
+    Check(Check),
+}
+
+#[derive(Debug)]
+pub struct Check {
+    pub file: PathBuf,
+
+    pub against: Option<PathBuf>,
+    pub strict: bool,
+    pub format: Option<Format>,
+}
+
 #[derive(Debug)]
 pub struct Status;
 
