--- a/components/settings/src/location.rs
+++ b/components/settings/src/location.rs
@@ -26,8 +26,8 @@
     by_pointer: HashMap<String, Location>,
     /// Pointer and location of each repetition of a field.
     pub repeated: Vec<(String, Location)>,
-    /// The pointers to index; all if `None`.
-    selected: Option<HashSet<String>>,
+    /// Pointers of the values whose fields and items are indexed; all if `None`.
+    enclosing: Option<HashSet<String>>,
 }
 
 impl Locations {
@@ -44,18 +44,21 @@
         self.index_value(text, String::new(), Location { key: None, value });
     }
 
-    /// Indexes only the values at `pointers` and those that enclose them, so that
-    /// the cost depends on the number of pointers more than on that of values.
+    /// Indexes only the values that enclose those at `pointers`, with their fields and
+    /// items, so that the cost depends on the number of pointers more than on that of
+    /// values.
     fn select(text: &str, pointers: &[&str]) -> Self {
-        let mut selected = HashSet::new();
+        let mut enclosing = HashSet::new();
         for pointer in pointers {
             let mut pointer = *pointer;
-            while selected.insert(pointer.to_owned()) {
-                let Some(end) = pointer.rfind('/') else { break };
+            while let Some(end) = pointer.rfind('/') {
                 pointer = &pointer[..end];
+                if !enclosing.insert(pointer.to_owned()) {
+                    break;
+                }
             }
         }
-        let mut locations = Self { selected: Some(selected), ..Self::default() };
+        let mut locations = Self { enclosing: Some(enclosing), ..Self::default() };
         locations.index_root(text);
         locations
     }
@@ -90,11 +93,9 @@
     }
 
     fn index_value(&mut self, text: &str, pointer: String, location: Location) {
-        if self.selected.as_ref().is_some_and(|selected| !selected.contains(&pointer)) {
-            return;
-        }
         let slice = &text[location.value.clone()];
-        match slice.as_bytes().first() {
+        let encloses = self.enclosing.as_ref().is_none_or(|pointers| pointers.contains(&pointer));
+        match slice.as_bytes().first().filter(|_| encloses) {
             Some(b'{') => self.index_object(text, &pointer, slice),
             Some(b'[') => self.index_array(text, &pointer, slice),
             _ => (),
