Locality-aware routing as a decision of its own

Cause: a server in another zone gets 0.02 requests of added load, below the random load of up to 0.4, so two thirds of all requests leave their zone.

Change: balance::zone plans, from the open work of all gateways of a zone and the slots in each zone, the share of their traffic that leaves it and where to; shares follow gradually. Plain services in another zone count as full, with the price of a crossing added; groups of ranks in one zone get the price in requests of a pass; groups that span zones get nothing. Servers that have just become usable are filled over 2 s. Disabled by default: choices and random draws are those of before.

--- a/components/balance/src/balancer/choose.rs
+++ b/components/balance/src/balancer/choose.rs
@@ -5,7 +5,7 @@
 use tables::Name;
 
 use super::{Balancer, MIN_ATTEMPT_TIME};
-use crate::choice::{self, Context};
+use crate::choice::{self, Context, Locality};
 use crate::gossip::Work;
 use crate::member::Member;
 use crate::notice::Start;
@@ -81,7 +81,11 @@
         let cold_rate = pool.map_or(0.0, |pool| pool.cold_rate);
         let engine = pool.and_then(|pool| pool.engine);
         let share = self.paces.get(&ticket.pool).map_or(1.0, |pace| pace.share(now));
-        let context = Context { zone: &self.options.zone, engine: engine.as_ref(), share };
+        let preference = self.zone_preference(now, ticket, engine.as_ref());
+        let locality =
+            preference.as_ref().map(|preference| Locality { preference, register: &self.zones });
+        let zone = &self.options.zone;
+        let context = Context { zone, engine: engine.as_ref(), share, locality };
         let view = &self.view;
         let is_blocked =
             |start: &Start| self.notices.is_blocked(now, start) || view.is_held(now, start);
@@ -160,6 +164,7 @@
         member.own = member.own.plus(work);
         Target {
             address: member.server.address,
+            zone: member.server.zone.clone(),
             started_ms: member.server.started_ms,
             server,
             open,
--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod peers;
 mod retry;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -27,6 +28,7 @@
 use crate::suspect::{self, Scope, Standing};
 use crate::ticket::{Prompt, Reason, Refusal, Submission, Ticket};
 use crate::view::{Update, View};
+use crate::zone;
 
 /// Share of the platform's retry budget that is used. The rest covers the time
 /// in which entries have not yet discovered each other.
@@ -125,6 +127,7 @@
     suspects: suspect::Register,
     notices: Notices,
     slow: slow::Register,
+    zones: zone::Register,
     /// Pools whose streams don't have each event id.
     skipping: BTreeSet<Name>,
     rng: ChaCha8Rng,
@@ -154,6 +157,7 @@
             suspects: suspect::Register::default(),
             notices: Notices::default(),
             slow: slow::Register::default(),
+            zones: zone::Register::default(),
             skipping: BTreeSet::new(),
             store_replies: BTreeMap::new(),
             peer_era: 0,
@@ -419,6 +423,7 @@
     pub fn release(&mut self, server: &str) {
         if let Some(member) = self.members.get_mut(server) {
             member.own.open = member.own.open.saturating_sub(1);
+            self.zones.record_completed(&member.server.pool);
         }
     }
 
@@ -480,6 +485,7 @@
             "holds": self.view.hold_reports(now),
             "suspects": self.suspects.report(now, Scope::All),
             "pools": pools,
+            "zones": self.zones.dump(),
             "members": members,
         })
     }
--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -7,6 +7,7 @@
 
 use crate::config::Engine;
 use crate::member::Member;
+use crate::zone;
 
 /// Load added to a server at a failure rate of 1, in requests.
 const FAILURE_PENALTY: f64 = 12.0;
@@ -33,6 +34,17 @@
     pub engine: Option<&'a Engine>,
     /// Fraction of the normal limit of open requests that the pool accepts.
     pub share: f64,
+    /// Locality-aware routing, if it is enabled.
+    pub locality: Option<Locality<'a>>,
+}
+
+/// Locality-aware routing of a selection.
+#[derive(Clone, Copy, Debug)]
+pub struct Locality<'a> {
+    /// The zone that the request prefers.
+    pub preference: &'a zone::Preference,
+    /// The zone state of the entry.
+    pub register: &'a zone::Register,
 }
 
 /// Whether a member has reached its limit of open requests.
@@ -49,13 +61,14 @@
     context: Context<'_>,
     rng: &mut impl Rng,
 ) -> Option<Name> {
-    let scored = candidates
-        .map(|(name, member)| (load(now, member, context) + rng.random::<f64>() * JITTER, name));
+    let scored = candidates.map(|(name, member)| {
+        (load(now, name, member, context) + rng.random::<f64>() * JITTER, name)
+    });
     scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, name)| name.clone())
 }
 
 /// Load of a member in requests, including the prompts that wait for prefill.
-fn load(now: Duration, member: &Member, context: Context<'_>) -> f64 {
+fn load(now: Duration, name: &str, member: &Member, context: Context<'_>) -> f64 {
     let work = member.work(now);
     let mut load = f64::from(work.open);
     if let Some(engine) = context.engine.filter(|engine| engine.read_rate > 0.0) {
@@ -65,6 +78,11 @@
             load += prefill_s / request_s;
         }
     }
+    let failures = member.failure_rate() * FAILURE_PENALTY;
+    if let Some(Locality { preference, register }) = context.locality {
+        let load = load + register.slow_start(now, name, &member.server);
+        return preference.load(&member.server, load) + failures;
+    }
     let other_zone = member.server.zone.as_str() != context.zone;
-    load + member.failure_rate() * FAILURE_PENALTY + f64::from(u8::from(other_zone)) * ZONE_PENALTY
+    load + failures + f64::from(u8::from(other_zone)) * ZONE_PENALTY
 }
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod suspect;
 pub mod ticket;
 pub mod view;
+pub mod zone;
 
 pub use balancer::{Balancer, Limits, Options};
 pub use ticket::{Decision, Outcome, Prompt, Reason, Refusal, Submission, Target, Ticket};
--- a/components/balance/src/member.rs
+++ b/components/balance/src/member.rs
@@ -116,6 +116,12 @@
         fresh.fold(self.own, |sum, (work, _)| sum.plus(*work))
     }
 
+    /// Open work reported by each other entry.
+    pub fn reports(&self, now: Duration) -> impl Iterator<Item = (&Name, Work)> {
+        let fresh = self.others.iter().filter(move |(_, (_, at))| now < *at + LOAD_LIFETIME);
+        fresh.map(|(name, (work, _))| (name, *work))
+    }
+
     /// Stores the open work reported by another entry.
     pub fn apply_load(&mut self, now: Duration, from: Name, work: Option<Work>) {
         match work {
--- a/components/balance/src/pace.rs
+++ b/components/balance/src/pace.rs
@@ -96,6 +96,11 @@
         self.mean_gap
     }
 
+    /// Accepted gap between two events of a stream.
+    pub fn accepted_gap(&self) -> Duration {
+        self.accepted_gap
+    }
+
     /// Whether the streams of the pool are slow.
     ///
     /// ```
@@ -117,7 +122,8 @@
         now > self.last_event + STALL_AFTER
     }
 
-    fn is_known(&self, now: Duration) -> bool {
+    /// Whether there were events recently.
+    pub fn is_known(&self, now: Duration) -> bool {
         now < self.last_event + LIFETIME
     }
 }
--- a/components/balance/src/ticket.rs
+++ b/components/balance/src/ticket.rs
@@ -83,6 +83,8 @@
     pub server: Name,
     /// Unix time of its start, in milliseconds.
     pub started_ms: u64,
+    /// Its availability zone.
+    pub zone: Name,
     /// Address of its HTTP interface.
     pub address: SocketAddr,
     /// Open requests of all entries at the server when it was chosen.
