The gateway's settings enable locality-aware routing

Cause: the decision needs its settings, the size of requests and a way to be observed.

Change: optional block zones in the settings, off by default, checked and reloaded; counters of requests and bytes that leave the zone by pool and zone with at most 64 label pairs; a log line when a share changes, with its cause; the zone in the line dispatched.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! them to backend servers, follows the platform's store and exchanges state with
 //! the other entries.
 
+mod crossing;
 mod error;
 pub mod events;
 mod front;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use balance::content::Kind;
+use tables::Name;
 use telemetry::{Counter, Gauge, Histogram, Metrics};
 
+use crate::crossing::Crossings;
+
 /// Statuses of the entry's own responses that reject a request as wrong.
 const DENIALS: [(u16, &str); 6] =
     [(400, "400"), (401, "401"), (404, "404"), (408, "408"), (413, "413"), (431, "431")];
@@ -48,6 +51,8 @@
     pub unreadable_notices: Counter,
     /// Responses that are malformed or exceed a size limit.
     pub unusable_answers: Counter,
+    /// Traffic to other zones.
+    pub crossings: Crossings,
     /// Time to the first event of a stream.
     pub first_event_seconds: Histogram,
     /// Time to the complete response.
@@ -55,8 +60,8 @@
 }
 
 impl Meter {
-    /// Registers the instruments. Call once per process.
-    pub fn new(metrics: &Metrics) -> Meter {
+    /// Registers the instruments of an entry in the zone `home`. Call once per process.
+    pub fn new(metrics: &Metrics, home: Name) -> Meter {
         let counter = |name, help| metrics.counter(name, help, &[]);
         let histogram = |name, help| metrics.histogram(name, help, &BUCKETS_SECONDS, &[]);
         let denied = |(status, label): (u16, &str)| {
@@ -97,6 +102,7 @@
                 "gateway_unusable_answers",
                 "Answers that can't be read or went on beyond any bound",
             ),
+            crossings: Crossings::new(metrics, home),
             first_event_seconds: histogram(
                 "gateway_first_event_seconds",
                 "Time to the first event",
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use tokio::time::Interval;
 use wire::{Frame, Link, Sender};
 
+use crate::crossing;
 use crate::shared::Shared;
 
 /// Time within which a link that is dialled normally connects.
@@ -62,7 +63,9 @@
                 balancer.tick(now);
                 let links = balancer.links();
                 let heartbeat = balancer.heartbeat(now);
+                let zone_changes = balancer.take_zone_changes();
                 drop(balancer);
+                zone_changes.iter().for_each(crossing::log);
                 for removed in previous_links.iter().filter(|name| !links.contains(name)) {
                     link.forget(removed);
                     incarnations.remove(removed);
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -106,6 +106,8 @@
     reservation: Reservation,
     /// Time of the last events received in the current attempt.
     last_event_at: Option<Duration>,
+    /// Size of the request body and of the response so far.
+    bytes: u64,
     finished: bool,
     _guard: Guard,
 }
@@ -166,6 +168,7 @@
             events,
             reservation,
             last_event_at: None,
+            bytes: 0,
             finished: false,
             _guard: guard,
         };
@@ -189,14 +192,24 @@
             self.shared().meter.trials.add(1);
             self.shared().trial_started.notify_one();
         }
+        self.shared().meter.crossings.record_request(&self.ticket.pool, &self.target.zone);
+        self.count_bytes(self.request.body.len());
         let config = self.shared().balancer().config().map_or(0, |config| config.version);
         log::info!(target: "request", id:% = self.request.id, route:% = self.ticket.route,
-            server:% = self.target.server, open = self.target.open, cold = self.target.cold,
+            server:% = self.target.server, zone:% = self.target.zone, open = self.target.open,
+            cold = self.target.cold,
             attempt = self.ticket.tried.len(), config = config,
             trial = self.target.trial,
             prompt:% = suspect::label(&self.request.prompt_parts); "dispatched");
     }
 
+    /// Counts bytes sent to or received from the current target.
+    fn count_bytes(&mut self, bytes: usize) {
+        self.bytes += bytes as u64;
+        let meter = &self.context.shared.meter;
+        meter.crossings.record_bytes(&self.ticket.pool, &self.target.zone, bytes);
+    }
+
     /// Tries backend servers until one answers or the request is refused.
     pub async fn run(mut self: Box<Relay>) -> Reply {
         loop {
@@ -221,7 +234,10 @@
 
     /// Records the end of a completely answered request.
     fn succeed(&mut self) {
-        self.shared().balancer().succeed(&self.ticket);
+        let mut balancer = self.shared().balancer();
+        balancer.succeed(&self.ticket);
+        balancer.record_size(&self.ticket.pool, self.bytes);
+        drop(balancer);
         self.finish("answered", None);
         let age = self.shared().now() - self.ticket.arrived;
         self.shared().meter.answer_seconds.record(age.as_secs_f64());
@@ -383,6 +399,7 @@
         let reservation = shared.quota.reserve(RESPONSE_LIMIT);
         let body = timeout.wait_for(read_body(body, reservation)).await??;
         self.context.pool.put(connection);
+        self.count_bytes(body.len());
         if head.status.is_server_error() && self.ticket.kind.is_repeatable() {
             return Ok(self.retry_or_forward(Answer { head, body }).await);
         }
--- a/components/gateway/src/relay/stream.rs
+++ b/components/gateway/src/relay/stream.rs
@@ -93,6 +93,7 @@
         loop {
             match self.read().await {
                 Ok(Some(events)) => {
+                    self.count_bytes(events.len());
                     self.record_events();
                     return Some(Ok(events));
                 }
--- a/components/gateway/src/reload.rs
+++ b/components/gateway/src/reload.rs
@@ -38,11 +38,15 @@
             limits: current.limits,
             freshness: current.freshness,
             grace: current.grace,
+            zones: current.zones,
             seeds: current.seeds.clone(),
             ..changed.clone()
         };
         let needs_restart = unchanged != current;
-        shared.balancer().set_limits(changed.limits, changed.freshness, changed.grace);
+        let mut balancer = shared.balancer();
+        balancer.set_limits(changed.limits, changed.freshness, changed.grace);
+        balancer.set_zones(changed.zones);
+        drop(balancer);
         log::info!(target: "settings", needs_restart = needs_restart; "settings taken over");
         current = changed;
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -41,7 +41,7 @@
 ) -> Result<(), Error> {
     let metrics = Metrics::new()?;
     let incarnation = daemon::incarnation();
-    let balancer = Balancer::new(Options {
+    let mut balancer = Balancer::new(Options {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         link: settings.link_name(),
@@ -52,9 +52,11 @@
         grace: settings.grace,
         seed: incarnation,
     });
+    balancer.set_zones(settings.zones);
     let self_description = balancer.self_description();
     let quota = Quota::new(settings.memory_mb << 20);
-    let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics), quota));
+    let shared =
+        Arc::new(Shared::new(balancer, Meter::new(&metrics, settings.zone.clone()), quota));
     let store = registry::Store::new(settings.store);
     let (name, link) = (settings.name.clone(), settings.link_name());
     let frame_exchange = peers::start(shared.clone(), store.clone(), name, link)?;
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -39,6 +39,9 @@
     /// Times within which changes in the store must take effect.
     #[serde(default)]
     pub freshness: balance::freshness::Bounds,
+    /// Locality-aware routing.
+    #[serde(default)]
+    pub zones: balance::zone::Settings,
     /// Memory that the process may use, in MiB.
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
@@ -63,6 +66,14 @@
 /// milliseconds.
 const FRESHNESS_BOUNDS: std::ops::RangeInclusive<f64> = 100.0..=3_600_000.0;
 
+/// Valid range of the durations of locality-aware routing, in milliseconds. A longer wait
+/// than the upper bound is never preferable to another zone.
+const ZONE_BOUNDS: std::ops::RangeInclusive<f64> = 0.0..=1_000.0;
+
+/// Valid range of the time in which zone shares follow the load, in milliseconds. The
+/// lower bound is two intervals between reports of other entries.
+const SETTLE_BOUNDS: std::ops::RangeInclusive<f64> = 200.0..=60_000.0;
+
 impl Check for Settings {
     fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -101,6 +112,16 @@
                 FRESHNESS_BOUNDS,
             ));
         }
+        let zones = [
+            ("/zones/crossing_ms", self.zones.crossing, ZONE_BOUNDS),
+            ("/zones/megabyte_ms", self.zones.megabyte, ZONE_BOUNDS),
+            ("/zones/delay_ms", self.zones.delay, ZONE_BOUNDS),
+            ("/zones/settle_ms", self.zones.settle, SETTLE_BOUNDS),
+        ];
+        for (pointer, time, bounds) in zones {
+            faults.extend(Fault::out_of_range(pointer, time.as_secs_f64() * 1e3, bounds));
+        }
+        faults.extend(Fault::out_of_range("/zones/reserve", self.zones.reserve, 0.0..=0.9));
         faults.extend(Fault::out_of_range("/memory_mb", self.memory_mb as f64, MEMORY_BOUNDS));
         faults.extend(Fault::out_of_range(
             "/limits/retry_ratio",
