--- a/components/balance/tests/zone.rs
+++ b/components/balance/tests/zone.rs
@@ -247,6 +247,26 @@
     assert_eq!(failed(&on), 0);
 }
 
+/// Guards against requests that are late or refused in order to stay in their zone: under
+/// overload, no more than without the preference, up to a tenth for the scatter of three
+/// seeds.
+#[rstest]
+#[case::all_zones([1.0, 1.0, 1.0])]
+#[case::one_zone([2.0, 0.4, 0.4])]
+#[case::two_zones([1.4, 1.4, 0.2])]
+fn choose_overload(#[case] load: [f64; 3]) {
+    let [off, on] = [Settings::default(), enabled()].map(|settings| {
+        let runs = (1..=3).map(|seed| {
+            let mut world = World::new(seed, settings);
+            world.run(1, 6000, |_, zone| load[zone], linked);
+            failed(&world)
+        });
+        runs.sum::<usize>()
+    });
+    println!("{load:?}: {off} without the preference, {on} with it");
+    assert!(on <= off + off / 10, "{on} requests late or refused, {off} without the preference");
+}
+
 /// Guards against callers that are kept in a full zone, shares that jump or oscillate,
 /// gateways of a zone that disagree, and spillover that delays the other zones' callers.
 #[test]
