--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod peers;
 mod retry;
 mod wait;
+mod zones;
 
 pub use wait::Crowding;
 
@@ -33,6 +34,7 @@
 use crate::ticket::{Prompt, Reason, Refusal, Submission, Ticket};
 use crate::urgency::Scale;
 use crate::view::{Update, View};
+use crate::zone;
 
 /// Share of the platform's retry budget that is used. The rest covers the time
 /// in which entries have not yet discovered each other.
@@ -139,6 +141,7 @@
     suspects: suspect::Register,
     notices: Notices,
     slow: slow::Register,
+    zones: zone::Register,
     /// Pools whose streams don't have each event id.
     skipping: BTreeSet<Name>,
     rng: ChaCha8Rng,
@@ -172,6 +175,7 @@
             suspects: suspect::Register::default(),
             notices: Notices::default(),
             slow: slow::Register::default(),
+            zones: zone::Register::default(),
             skipping: BTreeSet::new(),
             store_replies: BTreeMap::new(),
             peer_era: 0,
@@ -457,6 +461,7 @@
     pub fn release(&mut self, server: &str) {
         if let Some(member) = self.members.get_mut(server) {
             member.own.open = member.own.open.saturating_sub(1);
+            self.zones.record_completed(&member.server.pool);
         }
     }
 
@@ -520,6 +525,7 @@
             "pools": pools,
             "rooms": self.room_report(now),
             "queues": self.queue_report(),
+            "zones": self.zones.dump(),
             "members": members,
         })
     }
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ticket;
 pub mod urgency;
 pub mod view;
+pub mod zone;
 
 pub use balancer::{Balancer, Limits, Options};
 pub use ticket::{
