--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -61,6 +61,12 @@
         kb.expect("a peak of memory")
     }
 
+    /// Number of open descriptors of the process.
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("the process's descriptors").count()
+    }
+
     /// Starts a program with a settings file.
     pub fn start_file(program: &[&str], file: &Path) -> Process {
         let name = file.with_extension("log");
