--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,11 +4,13 @@
 mod server;
 mod signal;
 mod start;
+mod unread;
 
 pub use error::Error;
 pub use server::{ListenError, Options, serve, serve_with};
 pub use signal::{on_sighup, shutdown_signal};
 pub use start::{Flags, start, start_with};
+pub use unread::close_after;
 
 /// Returns a process incarnation: microseconds since the Unix epoch, so that
 /// each restart on a host gets a higher number.
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -1,12 +1,12 @@
 //! The HTTP interface for callers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix::Addr;
 use actix_web::http::StatusCode;
 use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
-use futures_util::StreamExt;
 use futures_util::stream::{self, Stream};
 use routing::problem::{Code, Problem};
 use routing::{Part, Submission};
@@ -17,6 +17,7 @@
 use wire::RequestId;
 
 use crate::core::{Core, Disconnected, Request};
+use crate::intake::{Intake, Reservation};
 use crate::problem::{self, REQUEST_HEADER};
 
 /// Path of chat completions. The body of these requests names the model.
@@ -52,8 +53,8 @@
 pub struct Shared {
     /// The entry's actor.
     pub core: Addr<Core>,
-    /// Maximum size of a request body, in bytes.
-    pub body_limit: usize,
+    /// Reads the bodies of requests.
+    pub intake: Arc<Intake>,
 }
 
 /// Cancels the request when it is dropped before the answer is finished, which
@@ -62,6 +63,8 @@
     core: Addr<Core>,
     id: RequestId,
     finished: bool,
+    /// The router keeps the body until the request is answered.
+    _reservation: Reservation,
 }
 
 impl Guard {
@@ -80,14 +83,23 @@
 }
 
 /// Handles a request of a caller.
-pub async fn serve(request: HttpRequest, payload: Payload, shared: Data<Shared>) -> HttpResponse {
+pub async fn serve(
+    request: HttpRequest,
+    mut payload: Payload,
+    shared: Data<Shared>,
+) -> HttpResponse {
     let id = Uuid::now_v7();
-    let submission = match read_submission(id, &request, payload, shared.body_limit).await {
-        Ok(submission) => submission,
-        Err(code) => return problem::response(id, &Problem::before_dispatch(code)),
+    let read = read_submission(id, &request, &mut payload, &shared.intake).await;
+    let (submission, reservation) = match read {
+        Ok(read) => read,
+        Err(code) => {
+            let response = problem::response(id, &Problem::before_dispatch(code));
+            return daemon::close_after(response, payload);
+        }
     };
     let (parts, receiver) = unbounded_channel();
-    let guard = Guard { core: shared.core.clone(), id, finished: false };
+    let core = shared.core.clone();
+    let guard = Guard { core, id, finished: false, _reservation: reservation };
     if shared.core.send(Request { submission, parts }).await.is_err() {
         return problem::response(id, &Problem::before_dispatch(Code::Leaving));
     }
@@ -97,9 +109,9 @@
 async fn read_submission(
     id: RequestId,
     request: &HttpRequest,
-    payload: Payload,
-    limit: usize,
-) -> Result<Submission, Code> {
+    payload: &mut Payload,
+    intake: &Arc<Intake>,
+) -> Result<(Submission, Reservation), Code> {
     let bearer = header(request, "authorization")
         .and_then(|value| value.strip_prefix("Bearer "))
         .map(str::to_owned);
@@ -107,10 +119,11 @@
     if bearer.is_none() {
         return Err(Code::Unauthorized);
     }
-    let body = read_body(payload, limit).await?;
+    let length = header(request, "content-length").and_then(|length| length.parse().ok());
+    let (body, reservation) = intake.read(payload, length).await?;
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     let model = if request.path() == CHAT_PATH { Some(model(&body)?) } else { None };
-    Ok(Submission {
+    let submission = Submission {
         id,
         bearer,
         method: request.method().as_str().into(),
@@ -121,19 +134,8 @@
         class: routing::class(header(request, PRIORITY_HEADER)),
         timeout: timeout(request)?,
         body,
-    })
-}
-
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Code> {
-    let mut body = Vec::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Code::Malformed)?;
-        if body.len() + chunk.len() > limit {
-            return Err(Code::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.into())
+    };
+    Ok((submission, reservation))
 }
 
 fn model(body: &[u8]) -> Result<Name, Code> {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,8 +3,10 @@
 //! An actor passes requests, frames, platform updates and timer ticks to the
 //! [`routing::Router`], which makes all decisions, and executes its outputs.
 
+pub mod budget;
 mod core;
 mod http;
+pub mod intake;
 mod meter;
 mod operations;
 mod problem;
--- a/components/entry/src/problem.rs
+++ b/components/entry/src/problem.rs
@@ -61,6 +61,7 @@
         Code::NoRoute => "no route takes this request",
         Code::Malformed => "the request is malformed",
         Code::TooLarge => "the request is too large",
+        Code::Slow => "the body arrived too slowly",
         Code::Deadline => "the deadline has passed",
         Code::Overloaded => "too many requests are open",
         Code::Leaving => "this entry is leaving",
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,5 +1,7 @@
 //! Startup and shutdown of the entry.
 
+use std::sync::Arc;
+
 use actix::Addr;
 use actix_web::dev::ServerHandle;
 use actix_web::web;
@@ -11,6 +13,7 @@
 
 use crate::core::{Core, End, Inbound, Leave, PlatformUpdate, Retire};
 use crate::http::{self, Shared};
+use crate::intake::Intake;
 use crate::meter::Meter;
 use crate::operations;
 use crate::settings::Settings;
@@ -33,10 +36,11 @@
         move |update| core_address.do_send(PlatformUpdate(update)),
     );
     let watch = actix_rt::spawn(watch);
+    let intake = Intake::new(settings.body_limit, settings.body_budget, &metrics);
     let configure = operations::configure(core.clone(), metrics);
     let operators =
         daemon::serve(settings.operations, OPERATIONS_WORKERS, settings.linger, configure)?;
-    let callers = serve_callers(&settings, core.clone())?;
+    let callers = serve_callers(&settings, core.clone(), intake)?;
     log::info!(
         "entry {} started on {}, operations on {}",
         settings.name,
@@ -72,12 +76,19 @@
     Ok(context.run(core))
 }
 
-fn serve_callers(settings: &Settings, core: Addr<Core>) -> Result<ServerHandle, ListenError> {
-    let shared = web::Data::new(Shared { core, body_limit: settings.body_limit });
+fn serve_callers(
+    settings: &Settings,
+    core: Addr<Core>,
+    intake: Intake,
+) -> Result<ServerHandle, ListenError> {
+    let shared = web::Data::new(Shared { core, intake: Arc::new(intake) });
     let configure = move |config: &mut web::ServiceConfig| {
         config.app_data(shared.clone()).default_service(web::to(http::serve));
     };
-    daemon::serve(settings.listen, settings.workers, settings.drain_timeout, configure)
+    let options =
+        daemon::Options { connections: settings.connections, ..daemon::Options::default() };
+    let (workers, drain_timeout) = (settings.workers, settings.drain_timeout);
+    daemon::serve_with(settings.listen, workers, drain_timeout, options, configure)
 }
 
 /// Reports not ready for `linger`, then refuses new requests and waits until
--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -8,6 +8,8 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tables::Name;
 
+use crate::budget;
+
 /// Settings of the entry daemon, read from JSON. Times are in milliseconds,
 /// sizes in bytes.
 #[serde_as]
@@ -39,6 +41,12 @@
     /// Maximum size of a request body, in bytes.
     #[serde(default = "default_body_limit")]
     pub body_limit: usize,
+    /// Bytes that the bodies of all open requests may hold together.
+    #[serde(default = "default_body_budget")]
+    pub body_budget: usize,
+    /// Maximum number of callers' connections; further ones wait to be accepted.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
     /// Worker threads for callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
@@ -64,6 +72,16 @@
     1 << 20
 }
 
+fn default_body_budget() -> usize {
+    64 << 20
+}
+
+/// With the descriptors of operators and links below the usual limit of 1,024
+/// descriptors of a process.
+fn default_connections() -> usize {
+    640
+}
+
 fn default_workers() -> usize {
     2
 }
@@ -99,6 +117,15 @@
             self.body_limit as f64,
             1.0..=BODY_MAX_BYTES as f64,
         ));
+        if budget::large_limit(self.body_budget) < self.body_limit {
+            let reason = Reason::Conflict { other: "/body_limit".into() };
+            faults.push(Fault::new("/body_budget", reason));
+        }
+        faults.extend(Fault::out_of_range(
+            "/connections",
+            self.connections as f64,
+            1.0..=100_000.0,
+        ));
         faults.extend(Fault::out_of_range("/workers", self.workers as f64, 1.0..=64.0));
         faults
     }
--- a/components/routing/src/problem.rs
+++ b/components/routing/src/problem.rs
@@ -17,6 +17,8 @@
     Malformed,
     /// The head or the body is larger than allowed.
     TooLarge,
+    /// The body arrived too slowly.
+    Slow,
     /// The deadline has passed.
     Deadline,
     /// The entry has too many requests open.
@@ -67,6 +69,7 @@
             Code::NoRoute => 404,
             Code::Malformed => 400,
             Code::TooLarge => 413,
+            Code::Slow => 408,
             Code::Deadline => 504,
             Code::Leaving if self.execution != Execution::NotRun => 502,
             Code::Overloaded | Code::Leaving => 503,
