--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Code shared by all daemons: start-up, signals, HTTP servers and exit codes.
 
+mod connection;
 mod error;
 mod server;
 mod signal;
--- a/components/daemon/src/unread.rs
+++ b/components/daemon/src/unread.rs
@@ -7,13 +7,13 @@
 use actix_web::body::{BodySize, BoxBody, MessageBody};
 use actix_web::web::Bytes;
 
-/// The body of an answer, with the payload of its request.
-struct Unread<P> {
+/// The body of an answer, with what is dropped after it.
+struct Holder<P> {
     body: BoxBody,
-    _payload: P,
+    _held: P,
 }
 
-impl<P: Unpin> MessageBody for Unread<P> {
+impl<P: Unpin> MessageBody for Holder<P> {
     type Error = Box<dyn std::error::Error>;
 
     fn size(&self) -> BodySize {
@@ -28,9 +28,14 @@
     }
 }
 
+/// Keeps `held` until the body is sent or dropped.
+pub fn hold<P: Unpin + 'static>(body: BoxBody, held: P) -> BoxBody {
+    BoxBody::new(Holder { body, _held: held })
+}
+
 /// Keeps the unread `payload` until the response is sent, so that the server then
 /// closes the connection. If the payload of a chunked request is dropped earlier,
 /// the server reads the rest of it without a limit on size or time.
 pub fn close_after<P: Unpin + 'static>(response: HttpResponse, payload: P) -> HttpResponse {
-    response.map_body(|_, body| BoxBody::new(Unread { body, _payload: payload }))
+    response.map_body(|_, body| hold(body, payload))
 }
