--- a/tests/tests/crowd.rs
+++ b/tests/tests/crowd.rs
@@ -14,7 +14,7 @@
 use system::cluster::{Cluster, KEY, Plan, wait_for};
 use system::process::Process;
 use system::{caller, port, settings};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 
 /// Connections of a crowd that sends.
 const CROWD: usize = 300;
@@ -100,7 +100,7 @@
     let (start, part, count) = trouble.parts(path);
     stream.write_all(start.as_bytes()).await.ok()?;
     if matches!(trouble, Trouble::SecondHead) {
-        stream.read(&mut [0; 1024]).await.ok()?;
+        stream.readable().await.ok()?;
     }
     for _ in 0..count {
         stream.write_all(part.as_bytes()).await.ok()?;
