--- a/tests/tests/crowd.rs
+++ b/tests/tests/crowd.rs
@@ -211,7 +211,7 @@
     let settings = settings::gateway("front-1", port::free(), port::free(), &[]);
     let address = settings[listener].as_str().unwrap().parse().unwrap();
     let process = Process::start(&["wisteria-gateway"], "front-1", &settings);
-    let path = if listener == "ready" { "/api/readiness" } else { "/metrics" };
+    let path = if listener == "ready" { adapter::header::READY_PATH } else { "/metrics" };
     crowd_without_bodies(process, address, path, trouble).await;
 }
 
