--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,14 +1,17 @@
 //! Code shared by all daemons: start-up, signals, HTTP servers and exit codes.
 
+mod connection;
 mod error;
 mod server;
 mod signal;
 mod start;
+mod unread;
 
 pub use error::Error;
 pub use server::{ListenError, Options, serve, serve_with};
 pub use signal::{on_sighup, shutdown_signal};
 pub use start::{Flags, start, start_with};
+pub use unread::close_after;
 
 /// Returns a process incarnation: microseconds since the Unix epoch, so that
 /// each restart on a host gets a higher number.
