The gateway's memory is bounded whatever its callers send

Cause: hyper's read buffers grow to 1 MiB for each connection, heads were checked only once complete, request bodies counted against no budget, glibc kept freed bodies, and empty lines were parsed without end before others were served.

The listener takes at most 16 KiB at a time, rejects heads while they are read (431), empty lines without end (400), and connections or incomplete heads above a bound (503), and lets others run after 16 reads. Refused clients are counted in gateway_rejected and gateway_evicted_bodies; their log lines are bounded.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -5,23 +5,20 @@
 
 use balance::config::Limits;
 use balance::{Refusal, suspect};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::Stream;
 use http::header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER};
 use http::response::Parts;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use listener::Rejection;
 
+use crate::intake;
 use crate::relay::{Context, Relay, Reply};
 use crate::request::{Request, response_headers};
 use crate::shared::Shared;
 
-/// Largest part of a body that is read and discarded, so that its caller gets the
-/// response instead of a reset connection, in bytes.
-const DISCARD_LIMIT: usize = 64 << 20;
-
 /// Body of a response to a caller.
 pub type Body = Either<Full<Bytes>, StreamBody<Events>>;
 
@@ -40,7 +37,10 @@
     let status = rejection.status();
     shared.meter.requests.add(1);
     shared.meter.record_denial(status);
-    log::info!(target: "request", status = status, error:% = rejection; "head not taken");
+    shared.meter.record_rejection(rejection);
+    if shared.lines.take(shared.now()) {
+        log::info!(target: "request", status = status, error:% = rejection; "head not taken");
+    }
 }
 
 /// Serves a request.
@@ -66,19 +66,14 @@
     let config = context.shared.balancer().config().map(|config| (config.version, config.limits));
     let (version, limits) = config.unwrap_or_default();
     let limit = limits.body;
-    match read_body(body, limit).await {
+    match context.shared.intake.read(body, limit).await {
         Ok(body) => parsed.body = body,
-        Err(413) if config.is_none() => {
+        Err(intake::Error::Large) if config.is_none() => {
             // No configuration forbids its size.
             let refusal = context.shared.balancer().refuse_unconfigured(parsed.caller_timeout);
             return refuse(&context.shared, &parsed, version, refusal);
         }
-        Err(status) => {
-            context.shared.meter.record_denial(status);
-            log::info!(target: "request", id:% = parsed.id, status = status, limit = limit,
-                config = version; "body not taken");
-            return empty_response(status);
-        }
+        Err(error) => return deny_body(&context.shared, &parsed.id, version, limit, error),
     }
     let id = parsed.id.clone();
     let relay = match Relay::begin(context.clone(), parsed).await {
@@ -101,6 +96,33 @@
     }
 }
 
+/// Records that a body is not taken, and returns the response.
+fn deny_body(
+    shared: &Shared,
+    id: &str,
+    version: u64,
+    limit: usize,
+    error: intake::Error,
+) -> Response<Body> {
+    let status = error.status();
+    shared.meter.record_denial(status);
+    let is_exhausted = error == intake::Error::Exhausted;
+    if is_exhausted {
+        shared.meter.refused.add(1);
+        shared.meter.evicted_bodies.add(1);
+    }
+    if !is_exhausted || shared.lines.take(shared.now()) {
+        log::info!(target: "request", id:% = id, status = status, limit = limit, error:%,
+            charged = shared.intake.used(), config = version; "body not taken");
+    }
+    let mut response = empty_response(status);
+    if is_exhausted {
+        // The rest of the body is not read.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 /// Records that a request is not admitted, and returns the response.
 fn refuse(shared: &Shared, request: &Request, version: u64, refusal: Refusal) -> Response<Body> {
     shared.meter.refused.add(1);
@@ -117,34 +139,6 @@
 #[error("the stream was cut: {}", .0.reason)]
 pub struct Aborted(Refusal);
 
-/// Reads a body. One that exceeds `limit` is read to its end, but not kept.
-///
-/// # Errors
-///
-/// The status that tells the caller.
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, u16> {
-    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if stated > DISCARD_LIMIT.max(limit) {
-        return Err(413);
-    }
-    let mut kept = BytesMut::new();
-    let mut size = 0_usize;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| 400_u16)?;
-        let Some(data) = frame.data_ref() else { continue };
-        size += data.len();
-        if size <= limit {
-            kept.extend_from_slice(data);
-        } else {
-            kept = BytesMut::new();
-        }
-        if size > DISCARD_LIMIT.max(limit) {
-            return Err(413);
-        }
-    }
-    if size > limit { Err(413) } else { Ok(kept.freeze()) }
-}
-
 /// The response of a backend server.
 fn relayed_response(parts: &Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,9 +4,12 @@
 //! them to backend servers, follows the platform's store and exchanges state with
 //! the other entries.
 
+pub mod budget;
 mod error;
 pub mod events;
 mod front;
+mod intake;
+mod memory;
 mod meter;
 mod operations;
 mod peers;
--- /dev/null
+++ b/components/gateway/src/memory.rs
@@ -0,0 +1,54 @@
+//! Memory of the process: the allocator, and the bounds derived from the settings.
+
+use listener::Bounds;
+
+/// Memory of a connection with its buffers and tasks while it serves a small request, in
+/// bytes.
+const CONNECTION_BYTES: u64 = 24 << 10;
+
+/// Share of the memory that bytes of incomplete heads may use. Each byte is held twice, in
+/// buffers that are up to twice as large.
+const HEADS_DIVISOR: u64 = 32;
+
+/// Descriptors for everything but callers and their backend servers: listeners, links and
+/// calls to the store.
+const OTHER_DESCRIPTORS: usize = 256;
+
+/// Bounds of the callers' listener in a process that may use `memory` bytes.
+pub fn bounds(memory: u64) -> Bounds {
+    let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    let fit = size(memory / CONNECTION_BYTES);
+    // A request needs a second descriptor for its backend server.
+    let connections = descriptor_limit()
+        .map_or(fit, |limit| fit.min(limit.saturating_sub(OTHER_DESCRIPTORS).max(limit / 2) / 2));
+    Bounds { connections, heads: size(memory / HEADS_DIVISOR) }
+}
+
+/// Largest number of descriptors that the process may open, if the system tells.
+fn descriptor_limit() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+/// Largest allocation that the allocator may keep after it is freed, in bytes. Larger ones,
+/// such as large bodies, go back to the system at once.
+pub const KEPT_ALLOCATION: usize = 64 << 10;
+
+/// Unused bytes at the end of the heap above which they go back to the system.
+#[cfg(target_env = "gnu")]
+const KEPT_HEAP: usize = 1 << 20;
+
+/// Makes the allocator give freed memory back to the system. By default, glibc raises both
+/// thresholds up to 32 and 64 MiB with the sizes it has seen.
+pub fn configure_allocator() {
+    #[cfg(target_env = "gnu")]
+    for (option, value) in
+        [(libc::M_MMAP_THRESHOLD, KEPT_ALLOCATION), (libc::M_TRIM_THRESHOLD, KEPT_HEAP)]
+    {
+        // SAFETY: `mallopt` takes its arguments by value and may be called at any time.
+        if unsafe { libc::mallopt(option, value as libc::c_int) } == 0 {
+            log::warn!(target: "entry", option = option; "the allocator can't be configured");
+        }
+    }
+}
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use balance::content::Kind;
+use listener::Rejection;
 use telemetry::{Counter, Gauge, Histogram, Metrics};
 
 /// Statuses of the entry's own responses that reject a request as wrong.
 const DENIALS: [(u16, &str); 6] =
     [(400, "400"), (401, "401"), (404, "404"), (408, "408"), (413, "413"), (431, "431")];
 
+/// Reasons for which the listener rejects a head or a connection.
+const REASONS: [&str; 6] = ["late", "large", "malformed", "ambiguous", "empty_lines", "crowded"];
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.6, 3.2, 8.0];
@@ -24,6 +28,10 @@
     pub refused: Counter,
     /// Requests rejected as wrong, by status.
     denied: BTreeMap<u16, Counter>,
+    /// Heads and connections that the listener rejected, by reason.
+    rejected: BTreeMap<&'static str, Counter>,
+    /// Bodies that were evicted or not read because the memory was exhausted.
+    pub evicted_bodies: Counter,
     /// Time since the copy of each kind was known to match the store.
     synced_age: BTreeMap<Kind, Gauge>,
     /// Responses that were aborted.
@@ -63,6 +71,10 @@
             let help = "Requests that the entry rejected as wrong";
             (status, metrics.counter("gateway_denied", help, &[("status", label)]))
         };
+        let rejected = |reason: &'static str| {
+            let help = "Request heads and connections that were rejected, by reason";
+            (reason, metrics.counter("gateway_rejected", help, &[("reason", reason)]))
+        };
         let synced_age = |kind: Kind| {
             let help = "Time since the entry's copy was known to match the store";
             let label = format!("{kind:?}");
@@ -70,6 +82,11 @@
         };
         Meter {
             denied: DENIALS.into_iter().map(denied).collect(),
+            rejected: REASONS.into_iter().map(rejected).collect(),
+            evicted_bodies: counter(
+                "gateway_evicted_bodies",
+                "Bodies not taken because the memory for bodies was exhausted",
+            ),
             synced_age: Kind::ALL.into_iter().map(synced_age).collect(),
             requests: counter("gateway_requests", "Requests that arrived"),
             answered: counter("gateway_answered", "Requests answered whole"),
@@ -113,6 +130,13 @@
         }
     }
 
+    /// Counts a head or connection that the listener rejected.
+    pub fn record_rejection(&self, rejection: &Rejection) {
+        if let Some(counter) = self.rejected.get(rejection.reason()) {
+            counter.add(1);
+        }
+    }
+
     /// Records the time since the copy of a kind was known to match the store.
     pub fn record_synced_age(&self, kind: Kind, age: Duration) {
         if let Some(gauge) = self.synced_age.get(&kind) {
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -11,6 +11,8 @@
 use tables::Name;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::intake;
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -49,7 +51,7 @@
     /// Headers to forward.
     headers: HeaderMap,
     /// Request body.
-    pub body: Bytes,
+    pub body: intake::Body,
 }
 
 /// The request head cannot be forwarded.
@@ -78,7 +80,7 @@
             last_event: fields.last_event,
             prompt_parts: fields.prompt_parts,
             headers: forwarded_headers(&head.headers)?,
-            body: Bytes::new(),
+            body: intake::Body::default(),
         })
     }
 
@@ -92,7 +94,7 @@
         let mut hasher = Xxh3::new();
         hasher.update(self.key.as_deref().unwrap_or_default().as_bytes());
         hasher.update(self.target.as_str().as_bytes());
-        hasher.update(&self.body);
+        hasher.update(&self.body.bytes);
         hasher.digest()
     }
 
@@ -105,7 +107,7 @@
         remaining: Duration,
         last_event: Option<u64>,
     ) -> hyper::Request<Full<Bytes>> {
-        let mut request = hyper::Request::new(Full::new(self.body.clone()));
+        let mut request = hyper::Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = http::Uri::from(self.target.clone());
         let headers = request.headers_mut();
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -9,16 +9,17 @@
 use balance::content::Kind;
 use balance::{Balancer, Options};
 use daemon::{Error, ListenError};
-use listener::{Handler, Listener};
+use listener::{Bounds, Handler, Listener};
 use registry::Registration;
 use telemetry::Metrics;
 
+use crate::intake::Intake;
 use crate::meter::Meter;
 use crate::quota::Quota;
 use crate::relay::Context;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{front, operations, peers, reload, store};
+use crate::{front, memory, operations, peers, reload, store};
 
 /// Time within which callers take their final responses before the process exits.
 const RESPONSE_TIME: Duration = Duration::from_millis(200);
@@ -39,6 +40,7 @@
     path: PathBuf,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
+    memory::configure_allocator();
     let metrics = Metrics::new()?;
     let incarnation = daemon::incarnation();
     let balancer = Balancer::new(Options {
@@ -54,7 +56,8 @@
     });
     let self_description = balancer.self_description();
     let quota = Quota::new(settings.memory_mb << 20);
-    let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics), quota));
+    let intake = Intake::new(settings.memory_mb << 20);
+    let shared = Arc::new(Shared::new(balancer, Meter::new(&metrics), quota, intake));
     let store = registry::Store::new(settings.store);
     let (name, link) = (settings.name.clone(), settings.link_name());
     let frame_exchange = peers::start(shared.clone(), store.clone(), name, link)?;
@@ -83,8 +86,9 @@
 }
 
 fn serve(settings: &Settings, shared: &Arc<Shared>, metrics: Metrics) -> Result<Listener, Error> {
-    let callers = serve_callers(settings.listen, shared.clone())
-        .map_err(|source| ListenError { address: settings.listen, source })?;
+    let callers =
+        serve_callers(settings.listen, memory::bounds(settings.memory_mb << 20), shared.clone())
+            .map_err(|source| ListenError { address: settings.listen, source })?;
     let ready = operations::configure_ready(shared.clone());
     daemon::serve(settings.ready, 1, settings.grace, ready)?;
     let operations = operations::configure(shared.clone(), metrics);
@@ -94,7 +98,11 @@
 
 /// Serves callers on a thread of its own, which also owns the connections to backend
 /// servers.
-fn serve_callers(address: SocketAddr, shared: Arc<Shared>) -> std::io::Result<Listener> {
+fn serve_callers(
+    address: SocketAddr,
+    bounds: Bounds,
+    shared: Arc<Shared>,
+) -> std::io::Result<Listener> {
     Listener::start(address, move || {
         let context = Rc::new(Context { shared, pool: connection::Pool::default() });
         let sweeper = context.clone();
@@ -106,6 +114,7 @@
         });
         let (limited, recorded) = (context.shared.clone(), context.shared.clone());
         Handler {
+            bounds,
             limits: Box::new(move || front::limits(&limited)),
             on_rejection: Box::new(move |rejection| {
                 front::record_rejection(&recorded, &rejection);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use balance::drain::Drain;
 use tokio::sync::{Notify, watch};
 
+use crate::intake::Intake;
 use crate::meter::Meter;
 use crate::quota::Quota;
 
@@ -25,10 +26,14 @@
     pub meter: Meter,
     /// Memory quota of buffered responses.
     pub quota: Quota,
+    /// Memory of request bodies.
+    pub intake: Intake,
+    /// Bounds log lines about clients that are refused.
+    pub lines: Lines,
 }
 
 impl Shared {
-    pub fn new(balancer: Balancer, meter: Meter, quota: Quota) -> Shared {
+    pub fn new(balancer: Balancer, meter: Meter, quota: Quota, intake: Intake) -> Shared {
         Shared {
             balancer: Mutex::new(balancer),
             started: Instant::now(),
@@ -37,6 +42,8 @@
             trial_started: Notify::new(),
             meter,
             quota,
+            intake,
+            lines: Lines::default(),
         }
     }
 
@@ -84,6 +91,26 @@
     }
 }
 
+/// Log lines per second about clients that are refused. A crowd that reconnects at once
+/// would otherwise fill the disk; the counters are complete.
+const LINES_PER_SECOND: u32 = 50;
+
+/// Bounds the log lines of a kind.
+#[derive(Default)]
+pub struct Lines(Mutex<(u64, u32)>);
+
+impl Lines {
+    /// Whether a line may be written at `now`.
+    pub fn take(&self, now: Duration) -> bool {
+        let mut lines = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if lines.0 != now.as_secs() {
+            *lines = (now.as_secs(), 0);
+        }
+        lines.1 += 1;
+        lines.1 <= LINES_PER_SECOND
+    }
+}
+
 /// Guard that counts a request as open.
 pub struct Guard(std::sync::Arc<Shared>);
 
--- a/components/listener/src/connection.rs
+++ b/components/listener/src/connection.rs
@@ -5,6 +5,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use http_body::Body;
 use hyper::body::Incoming;
@@ -13,18 +14,28 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::framing::{Framing, Length};
-use crate::io::{self, State, Stream};
+use crate::io::{self, Heads, State, Stream};
 use crate::{Handler, Limits, Phase};
 
 /// Least size of the buffer for a request head, in bytes. It is allocated as bytes
 /// arrive, and allows for limits that are raised while the connection is open.
 const HEAD_BUFFER_MIN: usize = 1 << 20;
 
+/// Bytes that are read and discarded after the last response, and the time for it. If a
+/// socket is closed with unread bytes, the system resets the connection, and the caller may
+/// lose the response.
+const DISCARD_MAX: usize = 4 << 20;
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Bytes that are discarded at a time.
+const DISCARD_PART: usize = 8 << 10;
+
 /// Bytes of the shortest header field with its delimiters.
 const FIELD_BYTES_MIN: usize = 4;
 
@@ -54,9 +65,27 @@
     /// several lengths.
     #[error("the length of the request is ambiguous")]
     Ambiguous,
+    /// Empty lines without end came before a request.
+    #[error("too many empty lines before a request")]
+    EmptyLines,
+    /// The connections or the incomplete heads of others leave no room.
+    #[error("connections or incomplete request heads exceed their bound")]
+    Crowded,
 }
 
 impl Rejection {
+    /// Label of the reason in metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Rejection::Late => "late",
+            Rejection::Large { .. } => "large",
+            Rejection::Malformed(_) => "malformed",
+            Rejection::Ambiguous => "ambiguous",
+            Rejection::EmptyLines => "empty_lines",
+            Rejection::Crowded => "crowded",
+        }
+    }
+
     /// The HTTP status that tells the caller.
     ///
     /// ```
@@ -66,7 +95,8 @@
         match self {
             Rejection::Late => 408,
             Rejection::Large { .. } => 431,
-            Rejection::Malformed(_) | Rejection::Ambiguous => 400,
+            Rejection::Malformed(_) | Rejection::Ambiguous | Rejection::EmptyLines => 400,
+            Rejection::Crowded => 503,
         }
     }
 }
@@ -93,6 +123,8 @@
 pub(crate) struct Connection<S> {
     pub handler: Rc<Handler<S>>,
     pub stopped: watch::Receiver<bool>,
+    /// Incomplete heads of all connections.
+    pub heads: Rc<Heads>,
 }
 
 impl<S, F, B> Connection<S>
@@ -107,8 +139,14 @@
         // Fails if the caller has closed the connection.
         let _ = socket.set_nodelay(true);
         let (handler, limits) = (self.handler.clone(), (self.handler.limits)());
-        let state = State::new(Framing::new(fields_max(&limits)));
-        let stream = TokioIo::new(Stream { socket, state: state.clone() });
+        let framing = Framing::new(fields_max(&limits));
+        let state = State::new(framing, handler.bounds, self.heads.clone());
+        let asked = handler.clone();
+        let stream = TokioIo::new(Stream {
+            socket,
+            state: state.clone(),
+            limits: Box::new(move || (asked.limits)()),
+        });
         let served = state.clone();
         let stopped = self.stopped.clone();
         let service = service_fn(move |request| {
@@ -119,11 +157,31 @@
         let mut connection = builder(&limits).serve_connection(stream, service);
         loop {
             match self.run(&mut connection, &state).await {
-                End::Closed(Ok(())) => return,
-                End::Closed(Err(error)) => return self.report(error),
+                End::Closed(result) => {
+                    // hyper hides the error if no head has begun.
+                    let rejection = state.rejection.take();
+                    let is_within = matches!(state.phase.get(), Phase::Request);
+                    let is_unread = state.framing.borrow().is_within_body();
+                    let socket = connection.into_parts().io.into_inner().socket;
+                    match (rejection, result) {
+                        (None, Ok(())) if is_unread => discard(socket).await,
+                        (None, Ok(())) => {}
+                        (None, Err(error)) => self.report(error),
+                        // The response may have begun.
+                        (Some(rejection), _) if is_within => {
+                            (self.handler.on_rejection)(rejection);
+                        }
+                        (Some(rejection), _) => {
+                            send(&socket, &rejection);
+                            (self.handler.on_rejection)(rejection);
+                            discard(socket).await;
+                        }
+                    }
+                    return;
+                }
                 End::Expired(Phase::Head(_)) => {
-                    (self.handler.on_rejection)(Rejection::Late);
-                    return send_late(&connection.into_parts().io.into_inner().socket);
+                    send(&connection.into_parts().io.into_inner().socket, &Rejection::Late);
+                    return (self.handler.on_rejection)(Rejection::Late);
                 }
                 // hyper would close a kept connection without reading the rest of the
                 // head. `respond` closes it with the response.
@@ -251,10 +309,31 @@
     line + request.headers().iter().map(field).sum::<usize>()
 }
 
+/// Reads what the caller still sends, until it closes the connection or a bound is reached.
+async fn discard(mut socket: TcpStream) {
+    // Fails if the caller has closed the connection.
+    let _ = socket.shutdown().await;
+    let discarded = async {
+        let mut size = 0;
+        while size < DISCARD_MAX && socket.readable().await.is_ok() {
+            match socket.try_read(&mut [0; DISCARD_PART]) {
+                Ok(0) => return,
+                Ok(part) => size += part,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+            // Others run between parts.
+            tokio::task::yield_now().await;
+        }
+    };
+    // The bound on time is no failure.
+    let _ = timeout(DISCARD_TIME, discarded).await;
+}
+
 /// Tells the caller that its request was not read and will not be.
-fn send_late(socket: &TcpStream) {
-    const RESPONSE: &[u8] =
-        b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+pub(crate) fn send(socket: &TcpStream, rejection: &Rejection) {
+    let status = StatusCode::from_u16(rejection.status()).unwrap_or_default();
+    let response = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
     // Fails if the caller has closed the connection or doesn't read.
-    let _ = socket.try_write(RESPONSE);
+    let _ = socket.try_write(response.as_bytes());
 }
--- a/components/listener/src/framing.rs
+++ b/components/listener/src/framing.rs
@@ -10,6 +10,10 @@
 /// Header fields that a head is parsed with at first.
 const FIELDS_MIN: usize = 64;
 
+/// Empty lines accepted before a request. Callers send one at most, after the body of the
+/// request before.
+const EMPTY_LINES_MAX: usize = 64;
+
 /// Largest chunk-size line or trailer that is followed, in bytes.
 const LINE_MAX: usize = 64 << 10;
 
@@ -55,6 +59,8 @@
     /// Bytes of an incomplete head, chunk size or trailer.
     buffer: Vec<u8>,
     fields_max: usize,
+    /// Empty lines since the last request.
+    empty_lines: usize,
     /// Complete heads that were not taken yet.
     heads: VecDeque<Length>,
 }
@@ -63,7 +69,44 @@
     /// The framing of a new connection whose requests have at most `fields_max` header
     /// fields.
     pub fn new(fields_max: usize) -> Framing {
-        Framing { part: Part::Head, buffer: Vec::new(), fields_max, heads: VecDeque::new() }
+        Framing {
+            part: Part::Head,
+            buffer: Vec::new(),
+            fields_max,
+            empty_lines: 0,
+            heads: VecDeque::new(),
+        }
+    }
+
+    /// Size of the incomplete request head, in bytes, without empty lines before it.
+    ///
+    /// ```
+    /// let mut framing = listener::framing::Framing::new(100);
+    /// framing.receive(b"\r\nGET / HTTP/1.1\r\nhost: a");
+    /// assert_eq!(framing.head_size(), 23);
+    /// framing.receive(b"\r\n\r\n");
+    /// assert_eq!(framing.head_size(), 0);
+    /// ```
+    pub fn head_size(&self) -> usize {
+        if matches!(self.part, Part::Head) { self.buffer.len() } else { 0 }
+    }
+
+    /// Whether a body has begun and is incomplete.
+    pub(crate) fn is_within_body(&self) -> bool {
+        matches!(self.part, Part::Data { .. } | Part::ChunkSize | Part::Trailer)
+    }
+
+    /// Whether more empty lines than allowed came before a request.
+    ///
+    /// ```
+    /// let mut framing = listener::framing::Framing::new(100);
+    /// framing.receive(b"\r\n\r\n");
+    /// assert!(!framing.has_excess_lines());
+    /// framing.receive(&b"\r\n".repeat(100));
+    /// assert!(framing.has_excess_lines());
+    /// ```
+    pub fn has_excess_lines(&self) -> bool {
+        self.empty_lines > EMPTY_LINES_MAX
     }
 
     /// Takes the oldest head that is complete. `None` if there is none, or if the
@@ -88,6 +131,11 @@
     fn receive_line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let end = bytes.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
         let (line, rest) = bytes.split_at(end.unwrap_or(bytes.len()));
+        if matches!(self.part, Part::Head) && is_empty_line(&self.buffer, line) {
+            self.buffer.clear();
+            self.empty_lines = self.empty_lines.saturating_add(1);
+            return rest;
+        }
         self.buffer.extend_from_slice(line);
         let next = match self.part {
             _ if end.is_none() => Status::Partial,
@@ -122,6 +170,7 @@
         match parse_head(&self.buffer, self.fields_max) {
             Ok(Status::Complete((length, next))) => {
                 self.heads.push_back(length);
+                self.empty_lines = 0;
                 Status::Complete(next)
             }
             // Empty lines before a head.
@@ -141,6 +190,11 @@
     }
 }
 
+/// Whether a line is empty that begins with `start` and ends with `end`.
+fn is_empty_line(start: &[u8], end: &[u8]) -> bool {
+    matches!((start, end), (b"", b"\n" | b"\r\n") | (b"\r", b"\n"))
+}
+
 /// Parses the line with the size of a chunk. Returns what follows it.
 fn parse_chunk_size(line: &[u8]) -> Status<Part> {
     match httparse::parse_chunk_size(line) {
--- a/components/listener/src/io.rs
+++ b/components/listener/src/io.rs
@@ -4,15 +4,39 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::Phase;
 use crate::framing::Framing;
+use crate::{Bounds, Limits, Phase, Rejection};
+
+/// Largest buffer of a connection, in bytes, unless a head needs more.
+const BUFFER_MAX: usize = 16 << 10;
+
+/// Bytes taken from a connection at a time. hyper doubles its buffer, up to the largest
+/// head, whenever a read fills it.
+const READ_MAX: usize = BUFFER_MAX - 1;
+
+/// Reads after which a connection that always has bytes lets others run.
+const READS_MAX: u32 = 16;
+
+/// Size of an incomplete head up to which it is read however many others there are: it fits
+/// into the first buffer of a connection.
+const SMALL_HEAD: usize = 4 << 10;
+
+/// Bytes of an incomplete head for each byte that the limit allows. The limit doesn't count
+/// spaces around values, nor the scheme and host of a target.
+const RAW_RATIO: usize = 2;
+
+/// Incomplete request heads of all connections of a listener.
+#[derive(Default)]
+pub(crate) struct Heads {
+    size: Cell<usize>,
+}
 
 /// A connection's state, shared by its stream and its responses.
 pub(crate) struct State {
@@ -21,14 +45,59 @@
     pub is_blocked: Cell<bool>,
     /// Follows the requests in the bytes that arrive.
     pub framing: RefCell<Framing>,
+    /// Reason for which nothing more is read.
+    pub rejection: Cell<Option<Rejection>>,
+    bounds: Bounds,
+    heads: Rc<Heads>,
+    /// Bytes of the incomplete head that count in `heads`.
+    head_size: Cell<usize>,
+    /// Reads since the connection last waited for bytes.
+    reads: Cell<u32>,
+}
+
+impl Drop for State {
+    fn drop(&mut self) {
+        self.heads.size.set(self.heads.size.get() - self.head_size.get());
+    }
 }
 
 impl State {
     /// The state of a new connection.
-    pub fn new(framing: Framing) -> Rc<State> {
-        let phase = Cell::new(Phase::Idle(Instant::now()));
-        let framing = RefCell::new(framing);
-        Rc::new(State { phase, is_blocked: Cell::new(false), framing })
+    pub fn new(framing: Framing, bounds: Bounds, heads: Rc<Heads>) -> Rc<State> {
+        Rc::new(State {
+            phase: Cell::new(Phase::Idle(Instant::now())),
+            is_blocked: Cell::new(false),
+            framing: RefCell::new(framing),
+            rejection: Cell::new(None),
+            bounds,
+            heads,
+            head_size: Cell::new(0),
+            reads: Cell::new(0),
+        })
+    }
+
+    /// Follows bytes that arrived.
+    ///
+    /// # Errors
+    ///
+    /// If nothing more may be read.
+    fn receive(&self, received: &[u8], limits: &Limits) -> Result<(), Rejection> {
+        self.phase.set(self.phase.get().receive(Instant::now()));
+        let mut framing = self.framing.borrow_mut();
+        framing.receive(received);
+        let size = framing.head_size();
+        let others = self.heads.size.get() - self.head_size.replace(size);
+        self.heads.size.set(others + size);
+        if framing.has_excess_lines() {
+            return Err(Rejection::EmptyLines);
+        }
+        if size > limits.head.saturating_mul(RAW_RATIO) {
+            return Err(Rejection::Large { limit: limits.head });
+        }
+        if size > SMALL_HEAD && others > 0 && others + size > self.bounds.heads {
+            return Err(Rejection::Crowded);
+        }
+        Ok(())
     }
 
     /// Whether nothing is due from either side.
@@ -50,6 +119,8 @@
 pub(crate) struct Stream {
     pub socket: TcpStream,
     pub state: Rc<State>,
+    /// Returns the limits in force.
+    pub limits: Box<dyn Fn() -> Limits>,
 }
 
 impl AsyncRead for Stream {
@@ -58,15 +129,27 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let reads = self.state.reads.replace(0);
+        if reads >= READS_MAX {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut part = buffer.take(READ_MAX);
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+        let size = part.filled().len();
+        // SAFETY: the socket has initialized the part that it has filled.
+        unsafe { buffer.assume_init(size) };
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.socket).poll_read(cx, buffer);
-        let received = &buffer.filled()[before..];
-        if !received.is_empty() {
-            let phase = &self.state.phase;
-            phase.set(phase.get().receive(Instant::now()));
-            self.state.framing.borrow_mut().receive(received);
+        buffer.advance(size);
+        if size == 0 {
+            return Poll::Ready(Ok(()));
         }
-        result
+        self.state.reads.set(reads + 1);
+        let received = &buffer.filled()[before..];
+        Poll::Ready(self.state.receive(received, &(self.limits)()).map_err(|rejection| {
+            self.state.rejection.set(Some(rejection));
+            io::ErrorKind::InvalidData.into()
+        }))
     }
 }
 
@@ -100,6 +183,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The response to a rejected head is still to be sent.
+        let rejection = self.state.rejection.take();
+        let is_rejected = rejection.is_some();
+        self.state.rejection.set(rejection);
+        if is_rejected {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
--- a/components/listener/src/lib.rs
+++ b/components/listener/src/lib.rs
@@ -25,6 +25,7 @@
 pub use phase::{Limits, Phase};
 
 use connection::Connection;
+use io::Heads;
 
 /// Connections that the kernel accepts before the process does.
 const BACKLOG: i32 = 1024;
@@ -32,8 +33,19 @@
 /// Pause after a failure to accept a connection, such as a lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bounds on what all connections of a listener use together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections that are open. Further ones get 503 and are closed.
+    pub connections: usize,
+    /// Bytes of incomplete request heads.
+    pub heads: usize,
+}
+
 /// Behaviour of a listener, on its own thread.
 pub struct Handler<S> {
+    /// Bounds on what all connections use together.
+    pub bounds: Bounds,
     /// Returns the limits in force.
     pub limits: Box<dyn Fn() -> Limits>,
     /// Called for each request that is rejected before it is complete.
@@ -48,7 +60,7 @@
 /// use std::time::Duration;
 /// use bytes::Bytes;
 /// use http_body_util::Full;
-/// use listener::{Handler, Limits, Listener};
+/// use listener::{Bounds, Handler, Limits, Listener};
 ///
 /// let limits = Limits {
 ///     head: 16_384,
@@ -57,6 +69,7 @@
 /// };
 /// actix_rt::System::new().block_on(async move {
 ///     let listener = Listener::start(([127, 0, 0, 1], 0).into(), move || Handler {
+///         bounds: Bounds { connections: 1000, heads: 1 << 20 },
 ///         limits: Box::new(move || limits),
 ///         on_rejection: Box::new(|rejection| eprintln!("{rejection}")),
 ///         respond: |_| async { hyper::Response::new(Full::new(Bytes::from("hello"))) },
@@ -156,6 +169,7 @@
             return;
         }
     };
+    let heads = Rc::<Heads>::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -170,7 +184,13 @@
                 continue;
             }
         };
-        let connection = Connection { handler: handler.clone(), stopped: stopped.clone() };
+        if open.load(Ordering::Relaxed) >= handler.bounds.connections {
+            connection::send(&socket, &Rejection::Crowded);
+            (handler.on_rejection)(Rejection::Crowded);
+            continue;
+        }
+        let connection =
+            Connection { handler: handler.clone(), stopped: stopped.clone(), heads: heads.clone() };
         let open = Open::new(&open);
         actix_rt::spawn(async move {
             connection.serve(socket).await;
--- a/components/listener/tests/framing.rs
+++ b/components/listener/tests/framing.rs
@@ -83,3 +83,22 @@
     framing.receive(head.as_bytes());
     assert_eq!(framing.take(), None);
 }
+
+/// Empty lines without end are found however they arrive, and count for each request anew.
+#[rstest]
+#[case::carriage_returns("\r\n", 1)]
+#[case::line_feeds("\n", 1)]
+#[case::together("\r\n", 1000)]
+fn receive_finds_excess_lines(#[case] line: &str, #[case] together: usize) {
+    let mut framing = Framing::new(100);
+    for _ in 0..100 {
+        framing.receive(line.repeat(2).as_bytes());
+        framing.receive(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    }
+    assert!(!framing.has_excess_lines());
+    for _ in 0..1000 / together {
+        framing.receive(line.repeat(together).as_bytes());
+    }
+    assert!(framing.has_excess_lines());
+    assert_eq!(framing.head_size(), 0);
+}
--- a/components/listener/tests/listener.rs
+++ b/components/listener/tests/listener.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::Response;
-use listener::{Handler, Limits, Listener};
+use listener::{Bounds, Handler, Limits, Listener};
 use rstest::rstest;
 
 /// Limits that a test changes, and the statuses of rejected requests.
@@ -42,6 +42,10 @@
     }
 }
 
+/// Bounds of the listener.
+const CONNECTIONS_MAX: usize = 100;
+const HEADS_MAX: usize = 1 << 20;
+
 /// Size of a response that doesn't fit into the buffers of a connection, in bytes.
 const LARGE: usize = 24 << 20;
 
@@ -70,6 +74,7 @@
     let (limited, recorded) = (shared.clone(), shared.clone());
     let listener = actix_rt::System::new().block_on(async move {
         Listener::start(address, move || Handler {
+            bounds: Bounds { connections: CONNECTIONS_MAX, heads: HEADS_MAX },
             limits: Box::new(move || limited.limits()),
             on_rejection: Box::new(move |rejection| {
                 recorded.rejected.lock().unwrap().push(rejection.status());
@@ -303,3 +308,54 @@
     assert!(size > LARGE, "{size} bytes");
     wait_until(|| listener.open() == 0);
 }
+
+/// A head far above the limit is rejected while it is read, and its caller can read why.
+#[rstest]
+#[case::field("GET / HTTP/1.1\r\nx: ", "y", 431)]
+#[case::fields("GET / HTTP/1.1\r\n", "x: y\r\n", 431)]
+#[case::line("GET /", "x", 431)]
+#[case::empty_lines("", "\r\n", 400)]
+fn serve_rejects_endless_head(#[case] begin: &str, #[case] part: &str, #[case] status: u16) {
+    let shared = Shared::new(16_384, 60_000, 60_000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let mut stream = connect(address);
+    stream.write_all(begin.as_bytes()).unwrap();
+    stream.write_all(part.repeat(200_000 / part.len()).as_bytes()).unwrap();
+    assert!(read(&mut stream).starts_with(&format!("HTTP/1.1 {status} ")));
+    wait_until(|| *shared.rejected.lock().unwrap() == [status]);
+}
+
+/// Incomplete heads of others may not take all memory. A small head is always read.
+#[test]
+fn serve_bounds_incomplete_heads() {
+    let shared = Shared::new(16_384, 60_000, 60_000);
+    let (_listener, address) = start(&shared, Duration::ZERO);
+    let head = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(15_000));
+    let mut streams: Vec<_> = (0..HEADS_MAX / head.len() + 1).map(|_| connect(address)).collect();
+    streams.iter_mut().for_each(|stream| stream.write_all(head.as_bytes()).unwrap());
+    wait_until(|| *shared.rejected.lock().unwrap() == [503]);
+    let mut small = connect(address);
+    small.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    assert!(read(&mut small).starts_with("HTTP/1.1 200 "));
+    drop(streams);
+    // The heads of closed connections don't count.
+    wait_until(|| {
+        let mut other = connect(address);
+        other.write_all(format!("{head}\r\n\r\n").as_bytes()).unwrap();
+        read(&mut other).starts_with("HTTP/1.1 200 ")
+    });
+}
+
+#[test]
+fn accept_refuses_excess_connections() {
+    let shared = Shared::new(16_384, 60_000, 60_000);
+    let (listener, address) = start(&shared, Duration::ZERO);
+    let streams: Vec<_> = (0..CONNECTIONS_MAX).map(|_| connect(address)).collect();
+    wait_until(|| listener.open() == CONNECTIONS_MAX);
+    assert!(read(&mut connect(address)).starts_with("HTTP/1.1 503 "));
+    drop(streams);
+    wait_until(|| listener.open() == 0);
+    let mut stream = connect(address);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 200 "));
+}
