--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -21,8 +21,8 @@
 /// them in a few milliseconds.
 const STALL_TIME: Duration = Duration::from_millis(250);
 
-/// Time that a body waits for memory before it is refused. Half of it is left to callers
-/// that wait for two seconds.
+/// Time that a body waits for memory before it is refused. Callers give up after two
+/// seconds at the earliest, so that at least one is left for a retry.
 const WAIT_MAX: Duration = Duration::from_secs(1);
 
 /// Identifies a body.
