--- a/components/balance/src/urgency.rs
+++ b/components/balance/src/urgency.rs
@@ -23,6 +23,7 @@
 pub struct Scale {
     levels: Vec<Urgency>,
     lowest_account: u32,
+    is_graded: bool,
 }
 
 impl Scale {
@@ -48,13 +49,15 @@
         };
         Scale {
             levels: accounts.iter().flat_map(of_account).collect(),
+            is_graded: routes.len() > 1,
             lowest_account: accounts.last().copied().unwrap_or_default(),
         }
     }
 
-    /// Whether requests differ in urgency.
+    /// Whether requests are treated by urgency: the routes to the pool have different
+    /// priorities. Those of client accounts alone don't ask for it.
     pub fn is_graded(&self) -> bool {
-        self.levels.len() > 1
+        self.is_graded
     }
 
     /// The urgency of a request with these priorities of its account and its route. One
--- a/components/balance/tests/admission.rs
+++ b/components/balance/tests/admission.rs
@@ -181,6 +181,15 @@
     assert_eq!(Scale::of(&config, "models").is_graded(), expected);
 }
 
+/// Accounts of different priority alone leave a pool as it was served before.
+#[test]
+fn scale_of_accounts_alone() {
+    let mut config = graded(1);
+    config.routes.truncate(1);
+    config.keys.get_mut("two").unwrap().priority = 0;
+    assert!(!Scale::of(&config, "models").is_graded());
+}
+
 /// Where all requests are equally urgent, none waits and the limits are as before.
 #[test]
 fn place_without_grades_never_waits() {
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -15,11 +15,12 @@
 const OTHER_DESCRIPTORS_MIN: usize = 256;
 const OTHER_DESCRIPTORS_DIVISOR: usize = 4;
 
-/// Bounds of the callers' listener in a process that may use `memory` bytes.
-pub fn bounds(memory: u64) -> Bounds {
+/// Bounds of the callers' listener in a process that may use `memory` bytes and open
+/// `descriptors`, or as many as the system allows.
+pub fn bounds(memory: u64, descriptors: Option<u64>) -> Bounds {
     let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let fit = size(memory / CONNECTION_BYTES);
-    let connections = descriptor_limit().map_or(fit, |limit| {
+    let connections = descriptors.map(size).or_else(descriptor_limit).map_or(fit, |limit| {
         let others = OTHER_DESCRIPTORS_MIN.max(limit / OTHER_DESCRIPTORS_DIVISOR).min(limit / 2);
         fit.min(limit - others)
     });
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -88,9 +88,12 @@
 }
 
 fn serve(settings: &Settings, shared: &Arc<Shared>, metrics: Metrics) -> Result<Listener, Error> {
-    let callers =
-        serve_callers(settings.listen, memory::bounds(settings.memory_mb << 20), shared.clone())
-            .map_err(|source| ListenError { address: settings.listen, source })?;
+    let callers = serve_callers(
+        settings.listen,
+        memory::bounds(settings.memory_mb << 20, settings.descriptors),
+        shared.clone(),
+    )
+    .map_err(|source| ListenError { address: settings.listen, source })?;
     let ready = operations::configure_ready(shared.clone());
     daemon::serve(settings.ready, 1, settings.grace, ready)?;
     let operations = operations::configure(shared.clone(), metrics);
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -45,6 +45,9 @@
     /// Memory that the process may use, in MiB.
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
+    /// Descriptors that the process may open; the limit of the system if not given.
+    #[serde(default)]
+    pub descriptors: Option<u64>,
     /// Time between the stop signal and the forced stop.
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "grace_ms")]
@@ -59,6 +62,9 @@
 /// Valid range of the memory limit, in MiB.
 const MEMORY_BOUNDS: std::ops::RangeInclusive<f64> = 16.0..=1_048_576.0;
 
+/// Valid range of the number of descriptors.
+const DESCRIPTOR_BOUNDS: std::ops::RangeInclusive<f64> = 64.0..=1e9;
+
 /// Valid range of the grace period, in milliseconds.
 const GRACE_BOUNDS: std::ops::RangeInclusive<f64> = 1_000.0..=600_000.0;
 
@@ -123,6 +129,10 @@
         }
         faults.extend(Fault::out_of_range("/zones/reserve", self.zones.reserve, 0.0..=0.9));
         faults.extend(Fault::out_of_range("/memory_mb", self.memory_mb as f64, MEMORY_BOUNDS));
+        if let Some(descriptors) = self.descriptors {
+            let fault = Fault::out_of_range("/descriptors", descriptors as f64, DESCRIPTOR_BOUNDS);
+            faults.extend(fault);
+        }
         faults.extend(Fault::out_of_range(
             "/limits/retry_ratio",
             self.limits.retry_ratio,
