The default accepted gap stands once

Cause: admission by urgency defined the constant of balance::pace a second time; a change of one would have left the other. Change: pace's constant is used; a doc line is wrapped.

--- a/components/balance/src/balancer/wait.rs
+++ b/components/balance/src/balancer/wait.rs
@@ -8,6 +8,7 @@
 
 use super::{Balancer, HEARTBEAT_TIMEOUT, MIN_ATTEMPT_TIME, PEER_LIFETIME};
 use crate::config::Engine;
+use crate::pace::DEFAULT_ACCEPTED_GAP;
 use crate::queue::{Queue, Waiter};
 use crate::room;
 use crate::ticket::{Placement, Reason, Ticket};
@@ -23,9 +24,6 @@
 /// Largest number of requests that wait for a pool. Bounds the memory of their bodies.
 const QUEUE_CAPACITY: usize = 64;
 
-/// Accepted gap between events where the route doesn't set one.
-const DEFAULT_ACCEPTED_GAP: Duration = Duration::from_millis(120);
-
 /// Limit for requests that were dispatched before, as a multiple of the limit for the
 /// most urgent ones. Their earlier attempts no longer use room.
 const RETRY_LIMIT_RATIO: f64 = 1.2;
--- a/components/balance/src/pace.rs
+++ b/components/balance/src/pace.rs
@@ -6,7 +6,7 @@
 const GAP_WEIGHT: f64 = 0.1;
 
 /// Accepted gap between events where the route doesn't set one.
-const DEFAULT_ACCEPTED_GAP: Duration = Duration::from_millis(120);
+pub const DEFAULT_ACCEPTED_GAP: Duration = Duration::from_millis(120);
 
 /// Mean gap above which a pool is slow, as a multiple of the accepted gap.
 const SLOW_GAP_RATIO: f64 = 2.5;
--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -1,7 +1,8 @@
 //! Divides the memory for request bodies among the requests that send them.
 //!
-//! Small bodies are not charged, so that many large bodies can't take their space. When the budget is exhausted, the body that has taken longest
-//! for its latest bytes is evicted first.
+//! Small bodies are not charged, so that many large bodies can't take their space. When the
+//! budget is exhausted, the body that has taken longest for its latest bytes is evicted
+//! first.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
