A list of client accounts without any key accepts nobody

What callers saw: once the last key of a configuration with client accounts was revoked, every request ran, with a revoked key, an unknown one or none, bookings included, and backend servers got it without an account.

Cause: Config::keys was a map, and Config::resolve required a key only if it wasn't empty. The decoder made the same empty map of a document without client accounts, of an empty list of accounts and of accounts without keys.

Frames between processes have version 5, since an older gateway's empty map would be read as None. The state dump says whether keys are required.

Why this works: the distinction that the decision needs is in the type, so it does not depend on earlier versions that a restarted gateway has not seen.

Related path: the product's own entry refuses requests without an account (submit_without_client_accounts passes before).

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -516,6 +516,7 @@
             "ready": self.is_ready(),
             "entries": self.entries(now),
             "config_version": self.config().map(|config| config.version),
+            "keys_required": self.config().map(|config| config.keys.is_some()),
             "positions": positions,
             "synced_ms": synced,
             "follows_store": follows,
--- a/components/balance/src/config.rs
+++ b/components/balance/src/config.rs
@@ -16,8 +16,9 @@
     pub routes: Vec<Route>,
     /// Pools by name.
     pub pools: BTreeMap<Name, Pool>,
-    /// Client accounts by bearer key. Empty if callers need no key.
-    pub keys: BTreeMap<Name, Account>,
+    /// Client accounts by bearer key; `None` if callers need no key. An empty map accepts
+    /// none, so that only public routes are served.
+    pub keys: Option<BTreeMap<Name, Account>>,
     /// Limits for requests of callers.
     pub limits: Limits,
 }
@@ -185,12 +186,20 @@
     }
 
     /// Returns the route of a request and the client account of its key. The
-    /// account may be missing if the route is public or no keys are configured.
+    /// account may be missing if the route is public or the configuration has no client
+    /// accounts.
     ///
     /// # Errors
     ///
     /// [`Unmatched::Route`] if no route matches, [`Unmatched::Key`] if a key is
     /// required and none matches.
+    ///
+    /// ```
+    /// use balance::config::{Config, Unmatched};
+    /// let config = Config::default();
+    /// let resolved = config.resolve("shop.example", "/", None);
+    /// assert_eq!(resolved.unwrap_err(), Unmatched::Route);
+    /// ```
     pub fn resolve(
         &self,
         host: &str,
@@ -198,10 +207,10 @@
         key: Option<&str>,
     ) -> Result<(&Route, Option<&Account>), Unmatched> {
         let route = self.route(host, path).ok_or(Unmatched::Route)?;
-        let account = key.and_then(|key| self.keys.get(key));
-        if account.is_none() && !route.public && !self.keys.is_empty() {
-            return Err(Unmatched::Key);
+        let Some(keys) = &self.keys else { return Ok((route, None)) };
+        match key.and_then(|key| keys.get(key)) {
+            None if !route.public => Err(Unmatched::Key),
+            account => Ok((route, account)),
         }
-        Ok((route, account))
     }
 }
--- a/components/balance/src/urgency.rs
+++ b/components/balance/src/urgency.rs
@@ -39,7 +39,7 @@
         let routes: BTreeSet<u32> =
             config.routes.iter().filter(sends).map(|route| route.priority).collect();
         let mut accounts: BTreeSet<u32> =
-            config.keys.values().map(|account| account.priority).collect();
+            config.keys.iter().flatten().map(|(_, account)| account.priority).collect();
         if accounts.is_empty() {
             accounts.insert(0);
         }
--- a/components/balance/tests/admission.rs
+++ b/components/balance/tests/admission.rs
@@ -46,7 +46,10 @@
     Config {
         routes: (0..3).map(route).collect(),
         pools: BTreeMap::from([("models".into(), Pool { cold_rate: 0.0, engine: Some(engine()) })]),
-        keys: BTreeMap::from([("one".into(), account("one")), ("two".into(), account("two"))]),
+        keys: Some(BTreeMap::from([
+            ("one".into(), account("one")),
+            ("two".into(), account("two")),
+        ])),
         ..plain
     }
 }
@@ -186,7 +189,7 @@
 fn scale_of_accounts_alone() {
     let mut config = graded(1);
     config.routes.truncate(1);
-    config.keys.get_mut("two").unwrap().priority = 0;
+    config.keys.as_mut().unwrap().get_mut("two").unwrap().priority = 0;
     assert!(!Scale::of(&config, "models").is_graded());
 }
 
--- a/components/balance/tests/common/mod.rs
+++ b/components/balance/tests/common/mod.rs
@@ -53,7 +53,10 @@
             route("/once/", "web", RouteKind::Once),
         ],
         pools: BTreeMap::from([("models".into(), cold), ("web".into(), Pool::default())]),
-        keys: BTreeMap::from([("key".into(), Account { name: "benches".into(), priority: 1 })]),
+        keys: Some(BTreeMap::from([(
+            "key".into(),
+            Account { name: "benches".into(), priority: 1 },
+        )])),
         limits: Limits { body: 1000, ..Limits::default() },
     }
 }
--- a/components/balance/tests/restore.rs
+++ b/components/balance/tests/restore.rs
@@ -70,8 +70,8 @@
 fn config_version_never_decreases_over_a_restore() {
     let mut balancer = ready(&[]);
     let mut revoked = config(7);
-    revoked.keys.clear();
-    revoked.keys.insert("new".into(), config(1).keys["key"].clone());
+    let account = config(1).keys.unwrap().remove("key").unwrap();
+    revoked.keys = Some([("new".into(), account)].into());
     balancer.apply(ms(0), configured(30, revoked));
     balancer.apply(ms(100), restored(configured(10, config(6))));
     assert_eq!(balancer.config().unwrap().version, 7);
--- a/components/gateway/tests/restore_world/mod.rs
+++ b/components/gateway/tests/restore_world/mod.rs
@@ -81,10 +81,10 @@
         version,
         routes: ZONES.iter().map(|zone| route(zone)).collect(),
         pools: ZONES.iter().map(|zone| (Name::from(*zone), Pool::default())).collect(),
-        keys: BTreeMap::from([(
+        keys: Some(BTreeMap::from([(
             format!("key-{version}").into(),
             Account { name: "benches".into(), priority: 1 },
-        )]),
+        )])),
         limits: Limits { body: 1000, ..Limits::default() },
     }
 }
@@ -352,7 +352,8 @@
     fn usable(&mut self, index: usize, zone: &str) -> BTreeSet<Name> {
         let now = self.now;
         let balancer = &mut self.entries[index].balancer;
-        let key = balancer.config().and_then(|config| config.keys.keys().next().cloned());
+        let keys = balancer.config().and_then(|config| config.keys.as_ref());
+        let key = keys.and_then(|keys| keys.keys().next().cloned());
         let path = format!("/{zone}/");
         let submission = Submission {
             host: "shop",
--- a/components/routing/tests/router.rs
+++ b/components/routing/tests/router.rs
@@ -105,6 +105,21 @@
     }
 }
 
+/// A table without client accounts accepts no bearer key.
+#[test]
+fn submit_without_client_accounts() {
+    let mut router = router(&["s1"]);
+    let account = Key { kind: Kind::Account, name: "a".into() };
+    let rows = vec![(account, Row { version: 5, body: None })];
+    router.step(NOW, Input::Delta(Delta { since: 4, revision: 5, rows }));
+    for (id, bearer) in [(1, Some("key")), (2, Some("other")), (3, None)] {
+        let submission = Submission { bearer: bearer.map(str::to_owned), ..request(id, "/free") };
+        let outputs = router.step(NOW, Input::Submit(submission));
+        assert_eq!(problem(&outputs).map(|problem| problem.code), Some(Code::Unauthorized));
+        assert_eq!(sent(&outputs), None);
+    }
+}
+
 /// The dispatched attempt and the name of its agent.
 fn sent(outputs: &[Output]) -> Option<(String, Dispatch)> {
     outputs.iter().find_map(|output| match output {
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -3,7 +3,7 @@
 use crate::{Frame, Message, Sender};
 
 /// Version of the frame format; the first byte of each encoded frame.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Maximum size of an encoded frame, in bytes.
 pub const FRAME_LIMIT: usize = 32 << 20;
 
