A route whose shares sum to zero sends its requests nowhere

What callers saw: with all weights of a traffic split at zero, the first service ran every request, though no configuration allowed it to. Weights whose sum exceeds 32 bits ended a debug build and gave wrong shares in a release build.

The draw of other routes uses the same random numbers as before.

--- a/components/balance/src/balancer/mod.rs
+++ b/components/balance/src/balancer/mod.rs
@@ -350,7 +350,10 @@
                 shared_parts: submission.shared_parts.into(),
             },
         };
-        ticket.pool = self.draw_pool(&shares);
+        let Some(pool) = self.draw_pool(&shares) else {
+            return Err(self.refuse_not_run(Reason::NoServer, Some(time_limit)));
+        };
+        ticket.pool = pool;
         if let Some(scale) = self.scales.get(&ticket.pool) {
             let urgency = scale.urgency(priorities.0, priorities.1);
             ticket.urgency = Some(urgency);
@@ -374,17 +377,17 @@
         self.refuse_not_run(Reason::Unconfigured, caller_timeout)
     }
 
-    /// Draws a pool at random by the weights of a route.
-    fn draw_pool(&mut self, shares: &[(Name, u32)]) -> Name {
-        let total: u32 = shares.iter().map(|(_, weight)| weight).sum();
-        let mut drawn = if total > 0 { self.rng.random_range(0..total) } else { 0 };
+    /// Draws a pool at random by the weights of a route, or `None` if all are zero.
+    fn draw_pool(&mut self, shares: &[(Name, u32)]) -> Option<Name> {
+        let total = shares.iter().fold(0, |sum: u32, (_, weight)| sum.saturating_add(*weight));
+        let mut drawn = (total > 0).then(|| self.rng.random_range(0..total))?;
         for (pool, weight) in shares {
             if drawn < *weight {
-                return pool.clone();
+                return Some(pool.clone());
             }
             drawn -= weight;
         }
-        shares.first().map_or(Name::default(), |(pool, _)| pool.clone())
+        None
     }
 
     /// Records a server's notice that it is shutting down. It gets no requests,
--- a/components/balance/tests/dispatch.rs
+++ b/components/balance/tests/dispatch.rs
@@ -4,9 +4,12 @@
 mod common;
 
 use balance::{Decision, Outcome, Reason};
-use common::{blank, configured, listing, ms, rank, ready, sent, server, submission, zones_out};
+use common::{
+    blank, config, configured, listing, ms, rank, ready, sent, server, submission, zones_out,
+};
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use tables::Name;
 
 const OUTCOMES: [Outcome; 8] = [
     Outcome::ConnectFailed,
@@ -55,6 +58,32 @@
     assert_ne!(target.server, first);
 }
 
+/// A route whose shares are all zero sent its requests to the first pool.
+#[rstest]
+#[case::zero(&[("web", 0), ("models", 0)])]
+#[case::none(&[])]
+fn admit_route_without_shares(#[case] shares: &[(&str, u32)]) {
+    let mut balancer = with_services(2);
+    let mut config = config(2);
+    let shares = shares.iter().map(|(pool, weight)| (Name::from(*pool), *weight));
+    config.routes[1].pools = shares.collect();
+    balancer.apply(ms(0), configured(9, config));
+    let refusal = balancer.admit(ms(2000), &submission("/safe/scan")).unwrap_err();
+    assert_eq!((refusal.reason, refusal.status), (Reason::NoServer, 503));
+    assert!(refusal.retry_after.is_some());
+    assert!(balancer.admit(ms(2000), &submission("/once/book")).is_ok());
+}
+
+/// Weights whose sum exceeds their type ended the process or lost shares.
+#[test]
+fn admit_route_with_large_weights() {
+    let mut balancer = with_services(2);
+    let mut config = config(2);
+    config.routes[1].pools = vec![("web".into(), u32::MAX), ("models".into(), u32::MAX)];
+    balancer.apply(ms(0), configured(9, config));
+    assert!(balancer.admit(ms(2000), &submission("/safe/scan")).is_ok());
+}
+
 /// Random outcomes: a non-repeatable request is never retried after it may have
 /// run, and a request that may have run is never reported as not run.
 #[test]
