A response counts only with the status code of a final response

What callers saw: a backend server's response with the status 101 (which no request asks for) or 600 to 999 reached callers as the answer to their request, bookings, idempotent requests and streams alike. 000 and other codes that are not three digits from 100 did not: the HTTP library takes them for a malformed head.

Cause: the connection passed on every status that the library parses. Only 2xx need a signature, so the others were forwarded as the server's failure.

Change: a response with a status outside of 200 to 599 is unreadable, as a malformed head: a booking gets 502, since it may have run, and requests that may be repeated go to another server. This is in the connection crate, so it holds for the calls of the rank agent as well. Interim responses (100, 102 to 199) are skipped as before, 16 at most.

Evidence: serve_beside_invalid_status failed before for 101, 600, 666 and 999 (4 of 13 codes; the caller got that status) and passes for all now; call_returns_final_responses_only failed before. Tests of interim responses and of the codes that the library refuses pass before and after.

--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -33,7 +33,8 @@
     /// No complete response arrived before the timeout.
     #[error("no complete response before the timeout")]
     TimedOut,
-    /// The response head is malformed or exceeds a limit.
+    /// The response head is malformed, has the status code of no final response, or exceeds
+    /// a limit.
     #[error("response head is malformed or too large")]
     Unreadable,
 }
@@ -218,8 +219,8 @@
     /// # Errors
     ///
     /// [`Error::ConnectFailed`] if nothing was sent, [`Error::Unreadable`] if the
-    /// response head is malformed, too large or preceded by too many informational
-    /// responses, [`Error::Broken`] otherwise.
+    /// response head is malformed, too large, preceded by too many informational
+    /// responses or has the status code of no final response, [`Error::Broken`] otherwise.
     pub async fn send(
         &mut self,
         mut request: hyper::Request<Full<Bytes>>,
@@ -230,11 +231,12 @@
             sent = self.sender.try_send_request(request) => sent,
             () = exceeded.notified() => return Err(Error::Unreadable),
         };
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => Error::ConnectFailed,
             None if error.error().is_parse() => Error::Unreadable,
             None => Error::Broken,
-        })
+        })?;
+        if is_final(response.status()) { Ok(response) } else { Err(Error::Unreadable) }
     }
 
     /// Sets the idle limit from the idle time that the backend server states.
@@ -243,6 +245,12 @@
     }
 }
 
+/// Whether a status code is one of a final response: RFC 9110 defines 200 to 599 for these.
+/// 101 switches to another protocol, which no request asks for.
+fn is_final(status: http::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Notifies `exceeded` if the request gets more than [`INFORMATIONAL_LIMIT`]
 /// informational responses.
 fn limit_informational(request: &mut hyper::Request<Full<Bytes>>, exceeded: Arc<Notify>) {
