The agent and the platform's client take final responses only

What callers saw: through the product's entry and agent, an interim response (100, 102 to 199) that a backend server sent before its answer, 101, and 600 to 999 came back as the answer. A body without length or chunks, which ends with the connection, came back empty, as a complete answer. Orders to engines, health checks and calls to the platform had the same fault; there, the final response stayed on a connection that the next call could use, and a write that was answered with an interim response counted as rejected without effect.

Cause: awc takes the first head for the response, and a response without length or chunks for one without a body.

Change: the agent calls its backend server with the crate `connection`, as the gateway and the rank agent do, in place of awc; its wrapper that told the end of a connection from that of a body is no longer needed. Connections for requests that must not be repeated are reused for 500 ms at most, as in the gateway. The settings refuse a base URL that isn't one of HTTP, with its place. The platform's client takes a status outside of 200 to 599 for an unknown outcome and drops its connections.

Why this works: hyper skips interim responses and knows how each body ends, and the check of the status is in the one place through which all calls pass.

--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -1,18 +1,17 @@
 //! HTTP calls to the backend server, reported as events.
 
+use std::error::Error as _;
 use std::time::Duration;
 
 use admission::gate::Event;
-use awc::Client;
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::Method;
-use awc::http::header::TRANSFER_ENCODING;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, Full};
 use tables::{Name, PoolKind};
 use wire::Dispatch;
 
-use crate::stream;
+use crate::client::Client;
 
 /// Content type of streamed answers.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -35,46 +34,32 @@
 const CONNECTION_HEADERS: [&str; 6] =
     ["connection", "content-length", "keep-alive", "te", "trailer", "transfer-encoding"];
 
+/// Idle time up to which a connection is reused for a request that must not be repeated:
+/// if the server closes it at the same time, the request may or may not have run.
+const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Runs a request and passes its events to `event`; the last one is `Done` or
 /// `Failed`.
-pub async fn run(
-    client: Client,
-    base: Name,
-    kind: PoolKind,
-    dispatch: Dispatch,
-    event: impl Fn(Event),
-) {
+pub async fn run(client: Client, kind: PoolKind, dispatch: Dispatch, event: impl Fn(Event)) {
     let call_timeout = dispatch.remaining + DEADLINE_GRACE;
-    let call = exchange(client, base, kind, dispatch, &event);
+    let call = exchange(client, kind, dispatch, &event);
     let outcome = actix_rt::time::timeout(call_timeout, call).await;
     event(outcome.unwrap_or(Event::Failed { handed: true }));
 }
 
 async fn exchange(
     client: Client,
-    base: Name,
     kind: PoolKind,
     dispatch: Dispatch,
     event: &impl Fn(Event),
 ) -> Event {
-    let Ok(method) = Method::from_bytes(dispatch.method.as_bytes()) else {
+    let max_idle = if dispatch.idempotent { Duration::MAX } else { ONCE_IDLE_LIMIT };
+    let Ok(request) = request(&client, dispatch) else {
         return Event::Failed { handed: false };
     };
-    let mut request = client.request(method, format!("{base}{}", dispatch.path));
-    for (name, value) in &dispatch.headers {
-        request = request.insert_header((name.as_str(), value.as_str()));
-    }
-    if let Some(key) = &dispatch.key {
-        request = request.insert_header((KEY_HEADER, key.as_str()));
-    }
-    if dispatch.resume > 0 {
-        request = request.insert_header((RESUME_HEADER, dispatch.resume.to_string()));
-    }
-    // `run` enforces the timeout of the whole call.
-    let sent = request.timeout(dispatch.remaining + DEADLINE_GRACE).send_body(dispatch.body).await;
-    let mut response = match sent {
-        Ok(response) => response,
-        Err(error) => return Event::Failed { handed: may_have_been_sent(&error) },
+    let (connection, response) = match client.send(request, max_idle).await {
+        Ok(sent) => sent,
+        Err(error) => return Event::Failed { handed: error != connection::Error::ConnectFailed },
     };
     let status = response.status().as_u16();
     // Another engine may accept the request. From a plain service, 503 is an
@@ -87,17 +72,18 @@
         name.eq_ignore_ascii_case("content-type") && value.starts_with(EVENT_STREAM)
     });
     let length = length(response.headers());
-    // Only the end of the connection ends a body without either.
-    let until_close = length.is_none() && !response.headers().contains_key(TRANSFER_ENCODING);
     event(Event::Head { status, headers });
+    let mut body = response.into_body();
     let mut pending = BytesMut::new();
     let mut size = 0;
     let mut done = kind != PoolKind::Model || !streamed;
-    while let Some(chunk) = response.next().await {
-        let data = match chunk {
-            Ok(data) => data,
+    while let Some(frame) = body.frame().await {
+        let data = match frame.map(http_body::Frame::into_data) {
+            Ok(Ok(data)) => data,
+            // Trailers.
+            Ok(Err(_)) => continue,
             // The last event of a stream says that it is whole.
-            Err(error) if stream::is_end(&error) && (until_close || streamed && done) => break,
+            Err(error) if streamed && done && is_end(&error) => break,
             Err(_) => return Event::Failed { handed: true },
         };
         size += data.len();
@@ -116,12 +102,38 @@
     }
     // A stream that ends inside an event was truncated.
     let complete = done && pending.is_empty() && length.is_none_or(|length| length == size);
-    if complete { Event::Done } else { Event::Failed { handed: true } }
+    if !complete {
+        return Event::Failed { handed: true };
+    }
+    client.keep(connection);
+    Event::Done
+}
+
+/// The request for the backend server.
+fn request(client: &Client, dispatch: Dispatch) -> Result<Request<Full<Bytes>>, http::Error> {
+    let method = Method::from_bytes(dispatch.method.as_bytes())?;
+    let mut request = client.request(method, &dispatch.path);
+    for (name, value) in &dispatch.headers {
+        request = request.header(name.as_str(), value.as_str());
+    }
+    if let Some(key) = &dispatch.key {
+        request = request.header(KEY_HEADER, key.as_str());
+    }
+    if dispatch.resume > 0 {
+        request = request.header(RESUME_HEADER, dispatch.resume.to_string());
+    }
+    request.body(Full::new(dispatch.body))
+}
+
+/// Whether an error of a body is the end of its connection.
+fn is_end(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    source.is_some_and(|source| source.kind() == std::io::ErrorKind::UnexpectedEof)
 }
 
 /// The value of the `content-length` header.
-fn length(headers: &awc::http::header::HeaderMap) -> Option<usize> {
-    headers.get("content-length")?.to_str().ok()?.parse().ok()
+fn length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 /// Removes all complete events from the pending bytes and counts them.
@@ -139,7 +151,7 @@
     bytes.windows(part.len()).position(|window| window == part)
 }
 
-fn headers(headers: &awc::http::header::HeaderMap) -> Vec<(Name, Name)> {
+fn headers(headers: &HeaderMap) -> Vec<(Name, Name)> {
     let mut forwarded = Vec::new();
     for (name, value) in headers {
         if let Ok(value) = value.to_str()
@@ -150,27 +162,3 @@
     }
     forwarded
 }
-
-/// Whether the server may have received any part of the request. `awc` reports
-/// a connection closed before the response as a connect error, too.
-fn may_have_been_sent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => true,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => false,
-        _ => true,
-    }
-}
-
-/// A client for calls to the backend server.
-pub fn client() -> Client {
-    let connector = awc::Connector::new()
-        .connector(stream::connector())
-        .timeout(CONNECT_TIMEOUT)
-        .limit(CONNECTION_LIMIT);
-    Client::builder().connector(connector).disable_redirects().no_default_headers().finish()
-}
-
-/// Timeout for connecting to the backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of connections to the backend server.
-const CONNECTION_LIMIT: usize = 4096;
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 use wire::{Frame, Link};
 
+use crate::client::Client;
 use crate::meter::Meter;
 use crate::rank;
 use crate::rank_actor::Member;
@@ -25,9 +26,7 @@
 /// The backend server and the platform, with their clients.
 pub struct Targets {
     /// Client for calls to the backend server.
-    pub backend: awc::Client,
-    /// Base URL of the backend server.
-    pub base: Name,
+    pub backend: Client,
     /// Whether the backend server is a model engine or a plain service.
     pub kind: PoolKind,
     /// Client of the platform's object API.
@@ -160,15 +159,14 @@
         let core = context.address();
         let event = move |event| core.do_send(StateInput(Input::Event(ticket, event)));
         let client = self.targets.backend.clone();
-        let (base, kind) = (self.targets.base.clone(), self.targets.kind);
-        let call = backend::run(client, base, kind, dispatch, event);
+        let call = backend::run(client, self.targets.kind, dispatch, event);
         self.calls.insert(ticket, actix_rt::spawn(call));
     }
 
     fn check(&mut self, context: &mut Context<Core>) {
         let core = context.address();
         let client = self.targets.backend.clone();
-        let call = health::check(client, self.targets.base.clone(), self.targets.kind);
+        let call = health::check(client, self.targets.kind);
         actix_rt::spawn(async move { core.do_send(StateInput(call.await)) });
     }
 }
--- a/components/agent/src/health.rs
+++ b/components/agent/src/health.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use awc::Client;
+use bytes::Bytes;
+use http::Method;
 use serde::Deserialize;
-use tables::{Name, PoolKind};
+use tables::PoolKind;
 
+use crate::client::Client;
 use crate::state::Input;
 
 /// Path of a model engine's load report.
@@ -22,18 +24,17 @@
 }
 
 /// Checks the backend server once.
-pub async fn check(client: Client, base: Name, kind: PoolKind) -> Input {
+pub async fn check(client: Client, kind: PoolKind) -> Input {
     let result = match kind {
-        PoolKind::Model => load(&client, &base).await,
-        PoolKind::Service => probe(&client, &base).await,
+        PoolKind::Model => load(&client).await,
+        PoolKind::Service => probe(&client).await,
     };
     result.unwrap_or(Input::Unreachable)
 }
 
-async fn load(client: &Client, base: &str) -> Option<Input> {
-    let request = client.get(format!("{base}{LOAD_PATH}")).timeout(TIMEOUT);
-    let mut response = request.send().await.ok()?;
-    let load: Load = response.json().await.ok()?;
+async fn load(client: &Client) -> Option<Input> {
+    let reply = client.call(Method::GET, LOAD_PATH, Bytes::new(), TIMEOUT).await.ok()?;
+    let load: Load = serde_json::from_slice(&reply.body).ok()?;
     Some(Input::Engine {
         incarnation: load.incarnation,
         prefill: load.queued_prefill.min(u32::MAX.into()) as u32,
@@ -41,8 +42,7 @@
 }
 
 /// A plain service reports no incarnation; any response counts as healthy.
-async fn probe(client: &Client, base: &str) -> Option<Input> {
-    let request = client.request(awc::http::Method::HEAD, format!("{base}/")).timeout(TIMEOUT);
-    request.send().await.ok()?;
+async fn probe(client: &Client) -> Option<Input> {
+    client.call(Method::HEAD, "/", Bytes::new(), TIMEOUT).await.ok()?;
     Some(Input::Engine { incarnation: 1, prefill: 0 })
 }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`State`] makes all decisions without I/O; an actor executes its effects.
 
 pub mod backend;
+mod client;
 mod core;
 mod health;
 mod membership;
@@ -15,8 +16,8 @@
 mod settings;
 mod state;
 mod storage;
-mod stream;
 
+pub use client::{Base, Client, InvalidBase};
 pub use membership::Membership;
 pub use run::run;
 pub use settings::Settings;
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use awc::Client;
+use bytes::Bytes;
 use group::{Lease, Object, Order};
+use http::Method;
 use platform::{Error, Expect};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::client::Client;
 use crate::rank::{Input, Map, ORDER_TIMEOUT, Reply};
 
 /// Kind of the objects that store a group's lease with its fencing number.
@@ -16,10 +18,6 @@
 const MAP_KIND: &str = "map";
 /// Timeout of a status request to the engine.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time after which a connection to the engine isn't reused. It is shorter
-/// than that of common servers: an order sent on a closing connection may or
-/// may not have been accepted, and the rank then loses its session.
-const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
 /// Body of `POST /v1/group/prepare`.
 #[derive(Serialize)]
@@ -45,49 +43,39 @@
     next: u64,
 }
 
-/// A client for orders to the engine.
-pub fn client() -> Client {
-    let connector = awc::Connector::new().timeout(ORDER_TIMEOUT).conn_keep_alive(KEEP_ALIVE);
-    Client::builder().connector(connector).disable_redirects().finish()
-}
-
 /// Sends an order to the engine.
-pub async fn send_order(client: Client, base: impl AsRef<str>, order: Order) -> Input {
-    let base = base.as_ref();
+pub async fn send_order(client: Client, order: Order) -> Input {
     let accepted = match order {
         Order::Prepare { fence, map } => {
             // Content that isn't JSON is sent as null and left for the engine to judge.
             let content = serde_json::from_slice(&map.content).unwrap_or_default();
             let body = Prepare { fence: fence.to_u64(), map: map.version, content };
-            post(&client, format!("{base}/v1/group/prepare"), &body).await
+            post(&client, "/v1/group/prepare", &body).await
         }
         Order::Run { fence, block } => {
             let (from, to, map) = (block.from, block.to, block.map);
             let body = Steps { fence: fence.to_u64(), from, to, map };
-            post(&client, format!("{base}/v1/group/steps"), &body).await
+            post(&client, "/v1/group/steps", &body).await
         }
     };
     Input::Reply(if accepted { Reply::Accepted } else { Reply::Failed })
 }
 
-async fn post(client: &Client, url: String, body: &impl Serialize) -> bool {
-    let call = client.post(url).timeout(ORDER_TIMEOUT).send_json(body);
+async fn post(client: &Client, path: &str, body: &impl Serialize) -> bool {
+    let body = serde_json::to_vec(body).unwrap_or_default();
     // A timeout drops the call and closes its connection, so that the
     // order can't be sent afterwards.
-    let replied = actix_rt::time::timeout(ORDER_TIMEOUT, call).await;
-    matches!(replied, Ok(Ok(response)) if response.status().is_success())
+    let reply = client.call(Method::POST, path, body.into(), ORDER_TIMEOUT).await;
+    reply.is_ok_and(|reply| (200..300).contains(&reply.status))
 }
 
 /// Reads the engine's incarnation and next step.
-pub async fn fetch_status(client: Client, base: impl AsRef<str>) -> Input {
+pub async fn fetch_status(client: Client) -> Input {
     // No step is that high, so the response omits the record of steps.
-    let url = format!("{}/v1/group/steps?since={}", base.as_ref(), u64::MAX);
-    let call = async {
-        let mut response = client.get(url).send().await.ok()?;
-        let status: Status = response.json().await.ok()?;
-        Some((status.incarnation, status.next))
-    };
-    Input::Status(actix_rt::time::timeout(STATUS_TIMEOUT, call).await.ok().flatten())
+    let path = format!("/v1/group/steps?since={}", u64::MAX);
+    let reply = client.call(Method::GET, &path, Bytes::new(), STATUS_TIMEOUT).await;
+    let status = reply.ok().and_then(|reply| serde_json::from_slice::<Status>(&reply.body).ok());
+    Input::Status(status.map(|status| (status.incarnation, status.next)))
 }
 
 /// Reads the group's lease.
--- a/components/agent/src/rank_actor.rs
+++ b/components/agent/src/rank_actor.rs
@@ -5,6 +5,7 @@
 use tables::Name;
 use telemetry::{Gauge, Metrics};
 
+use crate::client::Client;
 use crate::core::Core;
 use crate::orders;
 use crate::rank::{Effect, Input, Rank};
@@ -13,7 +14,7 @@
 pub struct Member {
     rank: Rank,
     name: Name,
-    engine: awc::Client,
+    engine: Client,
     meter: Meter,
     was_leader: bool,
 }
@@ -36,10 +37,10 @@
 }
 
 impl Member {
-    /// A rank of the group `name`.
-    pub fn new(rank: Rank, name: Name, metrics: &Metrics) -> Member {
+    /// A rank of the group `name`, with the client of its engine.
+    pub fn new(rank: Rank, name: Name, engine: Client, metrics: &Metrics) -> Member {
         let meter = Meter::new(metrics);
-        Member { rank, name, engine: orders::client(), meter, was_leader: false }
+        Member { rank, name, engine, meter, was_leader: false }
     }
 
     /// The state as JSON.
@@ -134,12 +135,11 @@
         let Some(member) = &self.member else { return };
         let name = member.name.clone();
         let engine = member.engine.clone();
-        let base = self.targets.base.clone();
         let platform = self.targets.platform.clone();
         match effect {
             Effect::Send(address, message) => self.push(&address, message, context),
-            Effect::Order(order) => send_result(context, orders::send_order(engine, base, order)),
-            Effect::Status => send_result(context, orders::fetch_status(engine, base)),
+            Effect::Order(order) => send_result(context, orders::send_order(engine, order)),
+            Effect::Status => send_result(context, orders::fetch_status(engine)),
             Effect::Load => send_result(context, orders::load_lease(platform, name)),
             Effect::Store { expect, lease } => {
                 send_result(context, orders::store_lease(platform, name, expect, lease));
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use wire::{Link, Sender};
 
-use crate::backend;
+use crate::client::Client;
 use crate::core::{Core, Inbound, Leave, Targets};
 use crate::meter::Meter;
 use crate::operations;
@@ -43,6 +43,7 @@
 }
 
 fn start_core(settings: &Settings, metrics: &Metrics) -> Result<Addr<Core>, Error> {
+    let backend = Client::new(settings.backend.clone());
     let incarnation = daemon::incarnation();
     let sender = Sender { name: settings.name.clone(), incarnation, link: settings.link.clone() };
     let options = Options {
@@ -57,8 +58,7 @@
         claims: settings.claims.clone(),
     };
     let targets = Targets {
-        backend: backend::client(),
-        base: settings.backend.clone(),
+        backend: backend.clone(),
         kind: settings.kind,
         platform: platform::Client::new(settings.platform.clone(), settings.platform_timeout),
         pool: settings.pool.clone(),
@@ -70,7 +70,7 @@
     let state = State::new(Duration::ZERO, options);
     let member = settings.group.as_ref().map(|membership| {
         let rank = Rank::new(Duration::ZERO, incarnation, membership.clone());
-        Member::new(rank, membership.name.clone(), metrics)
+        Member::new(rank, membership.name.clone(), backend, metrics)
     });
     Ok(context.run(Core::new(state, link, Meter::new(metrics), targets, member)))
 }
--- a/components/agent/src/settings.rs
+++ b/components/agent/src/settings.rs
@@ -8,6 +8,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tables::{Name, PoolKind};
 
+use crate::client::Base;
 use crate::membership::Membership;
 
 /// Settings of the agent daemon, read from JSON. Times are in milliseconds.
@@ -24,7 +25,7 @@
     /// Kind of the backend server: `model` or `service`.
     pub kind: PoolKind,
     /// Base URL of the backend server.
-    pub backend: Name,
+    pub backend: Base,
     /// Listen address of the operations endpoints.
     pub operations: SocketAddr,
     /// Listen address for frames, `tcp://IP:PORT`.
@@ -88,7 +89,6 @@
             ("/name", &self.name),
             ("/zone", &self.zone),
             ("/pool", &self.pool),
-            ("/backend", &self.backend),
             ("/link", &self.link),
         ];
         for (pointer, text) in texts {
--- a/components/agent/tests/backend.rs
+++ b/components/agent/tests/backend.rs
@@ -1,4 +1,5 @@
-//! Answers of a backend server that ends its connection before they are complete.
+//! Answers of a backend server that are cut, or whose status codes are those of no final
+//! response.
 #![allow(clippy::unwrap_used)]
 
 use std::cell::RefCell;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 
 use admission::gate::Event;
-use agent::backend;
+use agent::{Client, backend};
 use rstest::rstest;
 use tables::PoolKind;
 use wire::{Class, Dispatch, RequestId};
@@ -45,6 +46,11 @@
 /// The last event of a call whose answer consists of these bytes and the end of the
 /// connection.
 fn last_event(answer: Vec<u8>, kind: PoolKind) -> Event {
+    events(answer, kind).pop().unwrap()
+}
+
+/// The events of a call whose answer consists of these bytes and the end of the connection.
+fn events(answer: Vec<u8>, kind: PoolKind) -> Vec<Event> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let base = format!("http://{}", listener.local_addr().unwrap());
     let server = std::thread::spawn(move || {
@@ -57,10 +63,24 @@
     let received = events.clone();
     actix_rt::System::new().block_on(async move {
         let record = move |event| received.borrow_mut().push(event);
-        backend::run(backend::client(), base.into(), kind, dispatch(), record).await;
+        let client = Client::new(base.parse().unwrap());
+        backend::run(client, kind, dispatch(), record).await;
     });
     server.join().unwrap();
-    events.take().pop().unwrap()
+    events.take()
+}
+
+/// Status and body of an answer that is complete.
+fn whole(events: &[Event]) -> Option<(u16, String)> {
+    let (Some(Event::Head { status, .. }), Some(Event::Done)) = (events.first(), events.last())
+    else {
+        return None;
+    };
+    let data = events.iter().filter_map(|event| match event {
+        Event::Data { data, .. } => Some(String::from_utf8_lossy(data)),
+        _ => None,
+    });
+    Some((*status, data.collect()))
 }
 
 #[rstest]
@@ -69,7 +89,33 @@
 #[case::until_close(UNTIL_CLOSE, PoolKind::Service)]
 #[case::stream(STREAM, PoolKind::Model)]
 fn run_reports_whole_answer(#[case] answer: &str, #[case] kind: PoolKind) {
-    assert_eq!(last_event(answer.into(), kind), Event::Done);
+    let body = if kind == PoolKind::Model { "data: a\n\ndata: [DONE]\n\n" } else { "bench" };
+    assert_eq!(whole(&events(answer.into(), kind)), Some((200, body.to_owned())));
+}
+
+/// A status code that is that of no final response was passed on as the answer.
+#[rstest]
+fn run_reports_invalid_status(
+    #[values("000", "099", "101", "600", "999", "20", "2x0", "0200", "1000")] code: &str,
+    #[values(PLAIN, CHUNKED, STREAM, UNTIL_CLOSE)] answer: &str,
+) {
+    let answer = answer.replacen("200", code, 1);
+    for kind in [PoolKind::Service, PoolKind::Model] {
+        let events = events(answer.clone().into(), kind);
+        assert_eq!(events, [Event::Failed { handed: true }], "{answer}");
+    }
+}
+
+/// An interim response that nobody asked for was passed on in place of the final one.
+#[rstest]
+fn run_skips_interim_responses(#[values("100", "102", "103", "199")] code: &str) {
+    let answer = format!("HTTP/1.1 {code} x\r\nlink: y\r\n\r\n");
+    for kind in [PoolKind::Service, PoolKind::Model] {
+        let last = last_event(answer.clone().into(), kind);
+        assert_eq!(last, Event::Failed { handed: true }, "no final response");
+        let events = events((answer.clone() + PLAIN).into(), kind);
+        assert_eq!(whole(&events), Some((200, "bench".to_owned())));
+    }
 }
 
 /// An answer that is cut anywhere, in its head or its body, must not look complete. The
--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -39,13 +39,25 @@
     Unreadable,
 }
 
-/// Timeout for opening a connection. A lost SYN is retransmitted only after a
-/// second, so trying another backend server is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeouts of a connection to a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Time for opening the connection.
+    pub connect: Duration,
+    /// TCP user timeout: time without acknowledgement after which the connection is
+    /// dead. `None` leaves it to the system.
+    pub user: Option<Duration>,
+}
 
-/// TCP user timeout: time without acknowledgement after which a connection is
-/// dead. Below the two seconds after which callers abort a stream without events.
-const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+impl Default for Timeouts {
+    /// Timeouts for a backend server on another host. A lost SYN is retransmitted only
+    /// after a second, so trying another backend server is faster. Callers abort a stream
+    /// after two seconds without events.
+    fn default() -> Timeouts {
+        let user = Some(Duration::from_millis(1500));
+        Timeouts { connect: Duration::from_millis(300), user }
+    }
+}
 
 /// Timeout of [`probe`]. A host that is up answers within milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -114,10 +126,46 @@
 /// Idle connections by address.
 #[derive(Default)]
 pub struct Pool {
+    timeouts: Timeouts,
     idle: RefCell<HashMap<SocketAddr, Vec<(Connection, Instant)>>>,
 }
 
 impl Pool {
+    /// A pool without connections. New ones have these timeouts.
+    ///
+    /// ```
+    /// use connection::{Pool, Timeouts};
+    /// let pool = Pool::new(Timeouts { user: None, ..Timeouts::default() });
+    /// pool.sweep();
+    /// ```
+    pub fn new(timeouts: Timeouts) -> Pool {
+        Pool { timeouts, ..Pool::default() }
+    }
+
+    /// Sends a request over a connection that was last used less than `max_idle` ago, or
+    /// over a new one, and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// See [`Connection::send`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+        max_idle: Duration,
+    ) -> Result<(Connection, hyper::Response<Incoming>), Error> {
+        if let Some(mut connection) = self.take(address, max_idle) {
+            match connection.send(request.clone()).await {
+                // Closed while idle; nothing was sent.
+                Err(Error::ConnectFailed) => {}
+                result => return result.map(|response| (connection, response)),
+            }
+        }
+        let mut connection = open(address, self.timeouts).await?;
+        let response = connection.send(request).await?;
+        Ok((connection, response))
+    }
+
     /// Takes an idle connection that was last used less than `max_idle` ago.
     pub fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -158,13 +206,21 @@
 ///
 /// [`Error::ConnectFailed`] if it fails or times out.
 pub async fn connect(address: SocketAddr) -> Result<Connection, Error> {
-    let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    open(address, Timeouts::default()).await
+}
+
+async fn open(address: SocketAddr, timeouts: Timeouts) -> Result<Connection, Error> {
+    let stream = actix_rt::time::timeout(timeouts.connect, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| Error::ConnectFailed)?.map_err(|_| Error::ConnectFailed)?;
-    handshake(address, stream).await
+    handshake(address, stream, timeouts).await
 }
 
-async fn handshake(address: SocketAddr, stream: TcpStream) -> Result<Connection, Error> {
-    if let Err(error) = set_options(&stream) {
+async fn handshake(
+    address: SocketAddr,
+    stream: TcpStream,
+    timeouts: Timeouts,
+) -> Result<Connection, Error> {
+    if let Err(error) = set_options(&stream, timeouts) {
         log::warn!(target: "backend", address:%, error:%; "socket options could not be set");
     }
     let socket = socket2::SockRef::from(&stream).try_clone().ok();
@@ -192,20 +248,21 @@
 pub async fn probe(address: SocketAddr) -> Probe {
     match actix_rt::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
-            handshake(address, stream).await.map_or(Probe::Unanswered, Probe::Accepted)
+            let connection = handshake(address, stream, Timeouts::default()).await;
+            connection.map_or(Probe::Unanswered, Probe::Accepted)
         }
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
         _ => Probe::Unanswered,
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream, timeouts: Timeouts) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     // An aborted request must not arrive later, after a host freeze or a network
     // partition. An RST discards data in flight; a FIN does not.
     socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(timeouts.user)?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE)
@@ -296,10 +353,6 @@
     path: &str,
     body: Bytes,
 ) -> Result<Reply, Error> {
-    let mut connection = match pool.take(address, Duration::MAX) {
-        Some(connection) => connection,
-        None => connect(address).await?,
-    };
     let request = http::Request::builder()
         .method(method)
         .uri(path)
@@ -307,7 +360,7 @@
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .map_err(|_| Error::ConnectFailed)?;
-    let response = connection.send(request).await?;
+    let (connection, response) = pool.send(address, request, Duration::MAX).await?;
     let status = response.status().as_u16();
     let body = http_body_util::Limited::new(response.into_body(), CALL_BODY_LIMIT).collect();
     let body = body.await.map_err(|_| Error::Broken)?.to_bytes();
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -237,6 +237,11 @@
         let mut response = response.timeout(call.timeout);
         let retry_after = response.headers().get(RETRY_AFTER).and_then(parse_seconds);
         let status = response.status().as_u16();
+        if !(200..600).contains(&status) {
+            // Not a final response (RFC 9110). The client doesn't wait for one that follows;
+            // it would be taken for the reply to the next call.
+            return Err(Error::Unknown);
+        }
         let era = self.era_header.and_then(|name| response.headers().get(name));
         let era = era.and_then(|value| Some(value.to_str().ok()?.into()));
         let body = response.body().limit(self.body_limit).await;
--- /dev/null
+++ b/components/platform/tests/client.rs
@@ -0,0 +1,63 @@
+//! Replies of a platform that are no answers.
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use platform::{Client, Error, Expect};
+use rstest::rstest;
+
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A platform whose connections `answer` serves: it gets the number of the request on its
+/// connection and the request's path.
+fn serve(answer: impl Fn(usize, &str, &mut TcpStream) + Clone + Send + 'static) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                let (mut stream, mut request) = (stream.unwrap(), [0; 4096]);
+                for number in 0.. {
+                    let size = stream.read(&mut request).unwrap_or(0);
+                    if size == 0 {
+                        return;
+                    }
+                    let head = String::from_utf8_lossy(&request[..size]).into_owned();
+                    answer(number, head.split(' ').nth(1).unwrap(), &mut stream);
+                }
+            });
+        }
+    });
+    Client::new(vec![url.into()], TIMEOUT)
+}
+
+/// A reply with a body that names an object.
+fn object(name: &str) -> String {
+    let body = format!(r#"{{"name": "{name}", "version": 7, "value": {{}}}}"#);
+    format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A status code that is that of no final response came back as a reply, and the final
+/// response after an interim one as the reply to the next call on the connection.
+#[rstest]
+fn call_with_status_of_no_final_response(
+    #[values("000", "099", "100", "101", "103", "199", "600", "999")] code: &'static str,
+) {
+    let client = serve(move |number, path, stream| {
+        let _ = write!(stream, "HTTP/1.1 {code} x\r\n\r\n");
+        std::thread::sleep(Duration::from_millis(20 * (1 - number.min(1) as u64)));
+        let _ = stream.write_all(object(path.rsplit('/').next().unwrap()).as_bytes());
+    });
+    actix_rt::System::new().block_on(async {
+        for name in ["one", "two", "three"] {
+            assert_eq!(client.get("pool", name).await, Err(Error::Unreachable), "{name}");
+            let reply = client.fetch(format!("/x/{name}"), TIMEOUT).await;
+            assert_eq!(reply, Err(Error::Unknown), "{name}");
+            let written = client.put("pool", name, Expect::Absent, &1.into()).await;
+            assert_eq!(written, Err(Error::Unknown), "{name}");
+        }
+    });
+}
