Answers and listings without end are bounded together

What callers saw: with a backend server that sends part of its answers without end, an entry reached 440 MB (256 MiB are allowed) and an agent 155 MB (128 MiB) with 60 requests of each kind at a time. A host's memory would end the process, and with it the requests of other callers. Idempotent requests to that server got 502, although another one could serve them.

Cause: the agent keeps the chunks of an answer until the entry acknowledges it, bounded by the request's deadline only. The entry bounds each buffered answer, but not their sum, nor chunks behind a gap. A listing of the platform's or the store's objects bounds each page, but not their number.

Change: the agent stops an attempt whose answer exceeds 16 MiB, or with which all kept answers exceed 48 MiB. The entry fails an attempt with which the buffers of all answers exceed 64 MiB, drops chunks behind a gap from 1 MiB on, which the agent sends again, and counts a too large answer as a failed attempt: idempotent requests are retried elsewhere. Listings are limited to 32 MiB, and replies of the platform to 16 MiB in place of 64.

--- a/components/admission/src/attempt.rs
+++ b/components/admission/src/attempt.rs
@@ -45,6 +45,8 @@
     pub head: Option<Head>,
     /// The parts of the answer's body received so far.
     pub chunks: Vec<Chunk>,
+    /// Size of these parts in bytes.
+    pub size: usize,
     /// The message that ended the attempt, once it was sent.
     pub final_message: Option<Message>,
 }
@@ -66,6 +68,7 @@
             ended_at: now,
             head: None,
             chunks: Vec::new(),
+            size: 0,
             final_message: None,
         }
     }
@@ -79,6 +82,7 @@
             events,
             data,
         };
+        self.size += chunk.data.len();
         self.chunks.push(chunk.clone());
         chunk
     }
--- a/components/admission/src/gate/forward.rs
+++ b/components/admission/src/gate/forward.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use wire::{Execution, Head, Message, Outcome, Reason};
 
 use super::{Event, Gate, Output, has_claim};
 use crate::attempt::{Attempt, Stage};
 
+/// Largest body of an answer, in bytes. It is kept until the entry has all of it.
+const ANSWER_LIMIT: usize = 16 << 20;
+/// Largest size of all kept bodies, in bytes. The smallest host has 128 MiB for an agent.
+const ANSWERS_LIMIT: usize = 48 << 20;
+
 impl Gate {
     pub(super) fn handle_event(
         &mut self,
@@ -27,17 +33,7 @@
                 attempt.head = Some(head.clone());
                 outputs.push(Output::Send(link, Message::Head(head)));
             }
-            Event::Data { events, data } => {
-                let is_first_chunk = attempt.first_chunk_at.is_none();
-                let latency = now.saturating_sub(attempt.started_at);
-                attempt.first_chunk_at.get_or_insert(now);
-                let chunk = attempt.add_chunk(events, data);
-                outputs.push(Output::Send(link, Message::Chunk(chunk)));
-                if is_first_chunk {
-                    let running = self.active.len() as u32;
-                    self.limit.record_outcome(now, running, latency, true);
-                }
-            }
+            Event::Data { events, data } => self.handle_data(now, ticket, events, data, outputs),
             Event::Done => self.handle_done(now, ticket, outputs),
             Event::Failed { handed: false } => {
                 if has_claim(&attempt.dispatch) {
@@ -47,13 +43,45 @@
                 self.refuse(now, ticket, Reason::Unreachable, Execution::NotRun, None, outputs);
                 outputs.push(Output::Check);
             }
-            Event::Failed { handed: true } => {
-                attempt.stage = Stage::Checking;
-                attempt.ended_at = now;
-                self.counters.broken += 1;
-                outputs.push(Output::Check);
-            }
+            Event::Failed { handed: true } => self.interrupt(now, ticket, outputs),
+        }
+    }
+
+    fn handle_data(
+        &mut self,
+        now: Duration,
+        ticket: u64,
+        events: u32,
+        data: Bytes,
+        outputs: &mut Vec<Output>,
+    ) {
+        let (size, running) = (data.len(), self.active.len() as u32);
+        let exceeds_total = self.answer_bytes + size > ANSWERS_LIMIT;
+        let Some(attempt) = self.attempt(ticket) else { return };
+        if exceeds_total || attempt.size + size > ANSWER_LIMIT {
+            self.counters.oversized += 1;
+            outputs.push(Output::Stop(ticket));
+            self.interrupt(now, ticket, outputs);
+            return;
         }
+        let is_first_chunk = attempt.first_chunk_at.is_none();
+        let latency = now.saturating_sub(attempt.started_at);
+        attempt.first_chunk_at.get_or_insert(now);
+        let chunk = attempt.add_chunk(events, data);
+        outputs.push(Output::Send(attempt.link.clone(), Message::Chunk(chunk)));
+        self.answer_bytes += size;
+        if is_first_chunk {
+            self.limit.record_outcome(now, running, latency, true);
+        }
+    }
+
+    /// Ends an attempt after a check whether the backend server crashed.
+    fn interrupt(&mut self, now: Duration, ticket: u64, outputs: &mut Vec<Output>) {
+        let Some(attempt) = self.attempt(ticket) else { return };
+        attempt.stage = Stage::Checking;
+        attempt.ended_at = now;
+        self.counters.broken += 1;
+        outputs.push(Output::Check);
     }
 
     pub(super) fn handle_done(&mut self, now: Duration, ticket: u64, outputs: &mut Vec<Output>) {
--- a/components/admission/src/gate/message.rs
+++ b/components/admission/src/gate/message.rs
@@ -180,6 +180,9 @@
     pub refused: u64,
     /// Attempts that failed after they were sent to the backend server.
     pub broken: u64,
+    /// Attempts that were stopped since their answers exceeded a size limit. They count as
+    /// failed as well.
+    pub oversized: u64,
     /// Crashes of the backend server.
     pub crashes: u64,
     /// Attempts sent to the backend server while it was out of service.
--- a/components/admission/src/gate/mod.rs
+++ b/components/admission/src/gate/mod.rs
@@ -47,6 +47,8 @@
     tickets: HashMap<u64, Cancel>,
     /// Attempts that occupy a slot: claiming, running or checking.
     active: Vec<u64>,
+    /// Size of the bodies of all kept answers, in bytes.
+    answer_bytes: usize,
     tombstones: Tombstones,
     suspects: HashMap<u64, Standing>,
     next_ticket: u64,
@@ -70,6 +72,7 @@
             attempts: HashMap::new(),
             tickets: HashMap::new(),
             active: Vec::new(),
+            answer_bytes: 0,
             tombstones: Tombstones::default(),
             suspects: HashMap::new(),
             next_ticket: 1,
--- a/components/admission/src/gate/receive.rs
+++ b/components/admission/src/gate/receive.rs
@@ -178,6 +178,7 @@
     pub(super) fn remove(&mut self, id: &Cancel) {
         if let Some(attempt) = self.attempts.remove(id) {
             self.tickets.remove(&attempt.ticket);
+            self.answer_bytes = self.attempts.values().map(|attempt| attempt.size).sum();
             self.tombstones.insert(attempt.ended_at, *id);
         }
     }
--- a/components/admission/src/gate/verdict.rs
+++ b/components/admission/src/gate/verdict.rs
@@ -78,6 +78,7 @@
         body: Bytes,
         outputs: &mut Vec<Output>,
     ) {
+        self.answer_bytes += body.len();
         let Some(attempt) = self.attempt(ticket) else { return };
         let (id, number) = (attempt.dispatch.id, attempt.dispatch.attempt);
         attempt.head = Some(Head { id, attempt: number, status, headers });
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -200,6 +200,40 @@
     assert_eq!(refused_with(&outputs), [(Reason::Out, Execution::NotRun)]);
 }
 
+/// An answer without end was kept until the request's deadline.
+#[rstest]
+#[case::one_answer(1, 17)]
+#[case::all_answers(60, 1)]
+fn receive_data_without_end(#[case] answers: u64, #[case] parts: usize) {
+    const PART: usize = 1 << 20;
+    let mut gate = gate(100);
+    let (mut stopped, mut kept) = (Vec::new(), 0);
+    for id in 1..=answers {
+        send(&mut gate, NOW, &dispatch(id.into()));
+        for _ in 0..parts {
+            let data = vec![0; PART].into();
+            let outputs = gate.step(NOW, Input::Event(id, Event::Data { events: 1, data }));
+            let is_chunk = |output: &Output| matches!(output, Output::Send(_, Message::Chunk(_)));
+            kept += outputs.iter().filter(|output| is_chunk(output)).count();
+            if outputs.contains(&Output::Stop(id)) {
+                stopped.push(id);
+            }
+        }
+    }
+    assert_eq!(kept, if answers == 1 { 16 } else { 48 });
+    assert_eq!(stopped, if answers == 1 { vec![1] } else { (49..=60).collect::<Vec<_>>() });
+    assert_eq!(gate.counters().oversized, stopped.len() as u64);
+    // Acknowledged answers make room.
+    for id in 1..=answers {
+        gate.step(NOW, Input::Event(id, Event::Done));
+        receive(&mut gate, NOW, Message::Ack(attempt(id.into())));
+    }
+    send(&mut gate, NOW, &dispatch(99));
+    let data = vec![0; PART].into();
+    let outputs = gate.step(NOW, Input::Event(answers + 1, Event::Data { events: 1, data }));
+    assert!(!outputs.contains(&Output::Stop(answers + 1)));
+}
+
 #[test]
 fn fail_after_send_may_have_run() {
     let mut gate = gate(1);
--- a/components/agent/src/meter.rs
+++ b/components/agent/src/meter.rs
@@ -11,6 +11,7 @@
     complete: Gauge,
     refused: Gauge,
     broken: Gauge,
+    oversized: Gauge,
     crashes: Gauge,
     run_while_out: Gauge,
     running: Gauge,
@@ -32,6 +33,7 @@
             complete: gauge("agent_complete", "Attempts that ended whole"),
             refused: gauge("agent_refused", "Attempts that were refused"),
             broken: gauge("agent_broken", "Attempts that the backend server broke off"),
+            oversized: gauge("agent_oversized", "Attempts stopped for the size of their answer"),
             crashes: gauge("agent_crashes", "Crashes of the backend server"),
             run_while_out: gauge("agent_run_while_out", "Attempts handed over while out"),
             running: gauge("agent_running", "Attempts that the backend server runs"),
@@ -51,6 +53,7 @@
         self.complete.set(counters.complete as f64);
         self.refused.set(counters.refused as f64);
         self.broken.set(counters.broken as f64);
+        self.oversized.set(counters.oversized as f64);
         self.crashes.set(counters.crashes as f64);
         self.run_while_out.set(counters.run_while_out as f64);
         self.running.set(f64::from(report.running));
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -13,8 +13,10 @@
 
 use crate::{Changes, Error, Expect, Hosts, Listing, Object, Reply, VALUE_LIMIT};
 
-/// Default limit of a reply's body.
-const BODY_LIMIT_BYTES: usize = 64 << 20;
+/// Default limit of a reply's body. A page or a watch's reply has a few megabytes at most.
+const BODY_LIMIT_BYTES: usize = 16 << 20;
+/// Limit of the bodies of all pages of a listing.
+const LISTING_LIMIT_BYTES: usize = 32 << 20;
 /// Idle time after which a connection is not reused. Shorter than the keep-alive
 /// of common servers, so that no call is sent on a connection about to close.
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -80,12 +82,23 @@
     ///
     /// Objects that change during the listing may appear in either state; a watch
     /// since the listing's revision returns these changes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Oversized`] if the pages exceed 32 MiB together; see also [`Client::fetch`].
     pub async fn list(&self, kind: &str) -> Result<Listing, Error> {
-        let mut listing: Listing = self.read(kind_path(kind), self.timeout).await?.read()?;
+        let reply = self.read(kind_path(kind), self.timeout).await?;
+        let mut listing: Listing = reply.read()?;
+        let mut size = reply.body.len();
         while listing.more {
             let Some(last) = listing.objects.last() else { break };
             let path = format!("{}?after={}", kind_path(kind), encode(&last.name));
-            let page: Listing = self.read(path, self.timeout).await?.read()?;
+            let reply = self.read(path, self.timeout).await?;
+            size += reply.body.len();
+            if size > LISTING_LIMIT_BYTES {
+                return Err(Error::Oversized { limit: LISTING_LIMIT_BYTES });
+            }
+            let page: Listing = reply.read()?;
             listing.more = page.more && !page.objects.is_empty();
             listing.objects.extend(page.objects);
         }
--- a/components/platform/tests/client.rs
+++ b/components/platform/tests/client.rs
@@ -1,4 +1,4 @@
-//! Replies of a platform that are no answers.
+//! Replies of a platform that are no answers, or never end.
 #![allow(clippy::unwrap_used)]
 
 use std::io::{Read, Write};
@@ -61,3 +61,51 @@
         }
     });
 }
+
+/// Part of a reply that is sent without end.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 x", "x")]
+#[case::header_line("HTTP/1.1 200 x\r\nx: ", "x")]
+#[case::headers("HTTP/1.1 200 x\r\n", "x: y\r\n")]
+#[case::informational("", "HTTP/1.1 103 x\r\n\r\n")]
+#[case::chunk_size("HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
+#[case::chunk_extension("HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n5;", "x")]
+#[case::trailer("HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n")]
+#[case::chunks("HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n")]
+#[case::body("HTTP/1.0 200 x\r\n\r\n", "x")]
+#[case::long_body("HTTP/1.1 200 x\r\ncontent-length: 4000000000\r\n\r\n", "x")]
+fn call_with_endless_reply(#[case] begin: &'static str, #[case] unit: &'static str) {
+    let client = serve(move |_, _, stream| {
+        let block = unit.repeat((64 << 10) / unit.len());
+        let mut sent = stream.write_all(begin.as_bytes());
+        while sent.is_ok() {
+            sent = stream.write_all(block.as_bytes());
+        }
+    });
+    actix_rt::System::new().block_on(async {
+        for _ in 0..2 {
+            assert!(client.get("pool", "one").await.is_err());
+            assert!(client.list("pool").await.is_err());
+            assert!(client.put("pool", "one", Expect::Absent, &1.into()).await.is_err());
+        }
+    });
+}
+
+/// A listing of which each page announces another one was kept without a bound. This one
+/// ends after 100 MiB.
+#[test]
+fn list_endless_pages() {
+    let client = serve(|_, path, stream| {
+        let name = path.rsplit("after=").next().unwrap().parse().unwrap_or(0) + 1;
+        let (filler, more) = ("x".repeat(1 << 20), name < 100);
+        let body = format!(
+            r#"{{"objects": [{{"name": "{name}", "version": 1, "value": "{filler}"}}],
+                "revision": 1, "more": {more}}}"#
+        );
+        let head = format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n", body.len());
+        let _ = stream.write_all((head + &body).as_bytes());
+    });
+    let listed = actix_rt::System::new().block_on(client.list("pool"));
+    let count = listed.as_ref().map_or(0, |listing| listing.objects.len());
+    assert!(matches!(listed, Err(Error::Oversized { .. })), "{count} objects were kept");
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -22,6 +22,9 @@
 /// response to a watch may contain the changes of several seconds.
 const BODY_LIMIT: usize = 8 << 20;
 
+/// Largest size of all pages of a listing, in bytes.
+const LISTING_LIMIT: usize = 32 << 20;
+
 /// Objects of a kind, with their position in the store's history.
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
@@ -102,10 +105,16 @@
     ) -> Result<Listed, Error> {
         let mut listing: Option<Listed> = None;
         let mut last: Option<Name> = None;
+        let mut size = 0;
         loop {
             let path = path(kind, last.as_deref());
             let (era, reply) = self.fetch(path, CALL_TIMEOUT).await?;
-            let page = log_malformed(store::decode_listing(kind, reply.accept()?))?;
+            let body = reply.accept()?;
+            size += body.len();
+            if size > LISTING_LIMIT {
+                return Err(Error::Oversized { limit: LISTING_LIMIT });
+            }
+            let page = log_malformed(store::decode_listing(kind, body))?;
             // Without progress the listing would never end.
             if page.more && (page.last.is_none() || page.last == last) {
                 return Err(Error::Malformed { status: 200 });
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -53,10 +53,15 @@
     pub next_index: u32,
     /// Chunks that arrived out of order, by index.
     pub buffered: BTreeMap<u32, Chunk>,
+    /// Size of these chunks.
+    pub buffered_bytes: usize,
     /// The end, once it has arrived.
     pub end: Option<End>,
 }
 
+/// Size of chunks that arrived early, in bytes, from which on no more are buffered.
+const EARLY_LIMIT: usize = 1 << 20;
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -116,9 +121,13 @@
 }
 
 impl Attempt {
-    /// Buffers a chunk until those before it have arrived; drops duplicates.
+    /// Buffers a chunk until those before it have arrived; drops duplicates, and later
+    /// chunks that exceed the limit. The agent sends what is missing again.
     pub fn accept(&mut self, chunk: Chunk) {
-        if chunk.index >= self.next_index {
+        let is_new = chunk.index >= self.next_index && !self.buffered.contains_key(&chunk.index);
+        let fits = chunk.index == self.next_index || self.buffered_bytes < EARLY_LIMIT;
+        if is_new && fits {
+            self.buffered_bytes += chunk.data.len();
             self.buffered.insert(chunk.index, chunk);
         }
     }
@@ -132,6 +141,7 @@
         }
         while let Some(chunk) = self.buffered.remove(&self.next_index) {
             self.next_index += 1;
+            self.buffered_bytes -= chunk.data.len();
             ready.push(chunk);
         }
         ready
--- a/components/routing/src/router/choose.rs
+++ b/components/routing/src/router/choose.rs
@@ -48,6 +48,7 @@
             head: None,
             next_index: 0,
             buffered: Default::default(),
+            buffered_bytes: 0,
             end: None,
         });
         self.members.tracker.started(now, &choice.server, request.prompt_tokens);
--- a/components/routing/src/router/collect.rs
+++ b/components/routing/src/router/collect.rs
@@ -6,12 +6,13 @@
 use wire::{Cancel, Chunk, End, Execution, Head, Message, Outcome, Reason, RequestId, Sender};
 
 use super::{Output, Part, Router};
-use crate::problem::Problem;
 use crate::request::Request;
 use crate::trace::Note;
 
 /// Largest non-streamed answer that is buffered, in bytes.
 const BODY_LIMIT: usize = 8 << 20;
+/// Largest memory of all buffered answers, in bytes.
+const BODIES_LIMIT: usize = 64 << 20;
 /// Content type of streamed answers.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -113,6 +114,7 @@
         let Some(attempt) = &mut request.attempt else { return };
         let ready = attempt.take_ready();
         let outcome = attempt.outcome();
+        let capacity = request.body.capacity();
         for chunk in ready {
             request.events += chunk.events;
             if request.stream {
@@ -121,7 +123,9 @@
                 request.body.extend_from_slice(&chunk.data);
             }
         }
-        if request.body.len() > BODY_LIMIT {
+        let size = request.body.len();
+        let has_grown = request.body.capacity() > capacity;
+        if size > BODY_LIMIT || (has_grown && self.buffered_bytes() > BODIES_LIMIT) {
             self.fail_too_large(now, id, outputs);
             return;
         }
@@ -135,6 +139,11 @@
         }
     }
 
+    /// Memory of all buffered answers, in bytes.
+    fn buffered_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.body.capacity()).sum()
+    }
+
     fn complete(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
         self.acknowledge(id, outputs);
         let Some(mut request) = self.requests.remove(&id) else { return };
@@ -162,13 +171,10 @@
     }
 
     fn fail_too_large(&mut self, now: Duration, id: RequestId, outputs: &mut Vec<Output>) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        self.cancel_attempt(now, &request, outputs);
-        self.counters.problems += 1;
-        let (reason, execution) = (Reason::TooLarge, Execution::Ran);
-        self.trace.record(now, id, Note::GivenUp { reason, execution });
-        let problem = Problem::refused(reason, execution, None);
-        outputs.push(Output::Answer(id, Part::Problem(problem)));
+        if let Some(request) = self.requests.get(&id) {
+            self.send_cancel(request, outputs);
+        }
+        self.fail_attempt(now, id, Reason::TooLarge, Execution::Ran, None, outputs);
     }
 }
 
--- a/components/routing/src/router/retry.rs
+++ b/components/routing/src/router/retry.rs
@@ -67,7 +67,7 @@
         request.reason = reason;
         request.retry_after = earlier(request.retry_after, retry_after);
         request.execution = merge_execution(request.execution, execution);
-        request.body.clear();
+        request.body = Vec::new();
         // A request that was already streaming is unlikely to have caused the
         // crash. Agents track suspect requests and bound how often it is tried.
         if reason == Reason::Crashed && attempt.next_index == 0 {
@@ -119,7 +119,7 @@
         // A non-idempotent request that its agent reports as started is not
         // retried. One lost with its agent is retried elsewhere, where the claim
         // log shows whether it had started.
-        let seen_by_agent = matches!(reason, Reason::Broken | Reason::Crashed);
+        let seen_by_agent = matches!(reason, Reason::Broken | Reason::Crashed | Reason::TooLarge);
         if !request.dispatch.idempotent && seen_by_agent {
             return false;
         }
@@ -203,15 +203,15 @@
         let ids: Vec<RequestId> = matching.map(|(id, _)| *id).collect();
         for id in ids {
             if let Some(request) = self.requests.get(&id) {
-                self.cancel_unreachable(request, outputs);
+                self.send_cancel(request, outputs);
             }
             self.fail_attempt(now, id, Reason::Unreachable, Execution::MayHaveRun, None, outputs);
         }
     }
 
-    /// Cancels the attempt at its agent, which may be slow rather than lost and
-    /// could start it later.
-    fn cancel_unreachable(&self, request: &Request, outputs: &mut Vec<Output>) {
+    /// Cancels the attempt at its agent, which may be slow rather than lost and could
+    /// start it later.
+    pub(super) fn send_cancel(&self, request: &Request, outputs: &mut Vec<Output>) {
         if let Some(attempt) = &request.attempt {
             let cancel = wire::Message::Cancel(request.attempt_id());
             outputs.push(Output::Send(attempt.link.clone(), cancel));
--- a/components/routing/tests/router.rs
+++ b/components/routing/tests/router.rs
@@ -244,6 +244,63 @@
     assert!(outputs.contains(&Output::Send("tcp://m1".into(), cancel)));
 }
 
+/// An answer without end isn't that of other servers, but a booking has run.
+#[rstest]
+#[case::idempotent("/free", true)]
+#[case::booking("/book", false)]
+fn collect_too_large_from_one_server(#[case] path: &str, #[case] retried: bool) {
+    let mut router = router(&["m1", "m2"]);
+    let (first, _) = sent(&submit(&mut router, 1, path)).unwrap();
+    let data = Bytes::from(vec![0; BODY_LIMIT + 1]);
+    let id = Uuid::from_u128(1);
+    let large = Message::Chunk(Chunk { id, attempt: 1, index: 0, events: 0, data });
+    let outputs = receive_all(&mut router, &first, vec![head(1, false), large]);
+    let next = sent(&outputs).map(|(server, _)| server);
+    assert_eq!(next.is_some_and(|next| next != first), retried);
+    assert_eq!(problem(&outputs).is_some(), !retried);
+}
+
+/// Answers that are each within the limit filled the memory together.
+#[test]
+fn collect_too_large_together() {
+    const REQUESTS: u128 = 60;
+    let mut router = router(&["m1"]);
+    let mut refused = 0;
+    for id in 1..=REQUESTS {
+        submit(&mut router, id, "/free");
+        let data = Bytes::from(vec![0; 4 << 20]);
+        let id = Uuid::from_u128(id);
+        let head = Message::Head(Head { id, attempt: 1, status: 200, headers: Vec::new() });
+        let part = Message::Chunk(Chunk { id, attempt: 1, index: 0, events: 0, data });
+        let outputs = receive_all(&mut router, "m1", vec![head, part]);
+        let problem = problem(&outputs);
+        refused += u32::from(problem.is_some());
+        assert!(problem.is_none_or(|found| found.code == Code::Refused(Reason::TooLarge)));
+    }
+    assert_eq!(refused, 60 - 16, "16 answers of 4 MiB fill 64 MiB");
+}
+
+/// Chunks behind a gap were kept without a bound.
+#[test]
+fn collect_drops_early_chunks() {
+    const PART: usize = 256 << 10;
+    let mut router = router(&["m1"]);
+    submit(&mut router, 1, "/free");
+    let id = Uuid::from_u128(1);
+    let part = |index| {
+        let data = Bytes::from(vec![b'x'; PART]);
+        Message::Chunk(Chunk { id, attempt: 1, index, events: 1, data })
+    };
+    receive_all(&mut router, "m1", vec![head(1, true)]);
+    let early = (1..40).map(part).collect();
+    assert_eq!(data(&receive_all(&mut router, "m1", early)), "");
+    let next = data(&receive_all(&mut router, "m1", vec![part(0)]));
+    assert_eq!(next.len(), 5 * PART, "of 40 chunks");
+    // The agent sends the others again.
+    let rest = data(&receive_all(&mut router, "m1", (5..40).map(part).collect()));
+    assert_eq!(rest.len(), 35 * PART);
+}
+
 #[test]
 fn collect_resumes_after_events_sent() {
     let mut router = router(&["m1", "m2"]);
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -111,6 +111,8 @@
     pub platform: platform::Settings,
     /// Time that a stopping entry gives its open requests.
     pub drain: Duration,
+    /// Base URLs that agents use in place of those of the stand-ins, by backend server.
+    pub backends: BTreeMap<&'static str, String>,
 }
 
 impl Default for Plan {
@@ -123,6 +125,7 @@
             service: service::Settings::default(),
             platform: platform::Settings::default(),
             drain: Duration::from_secs(20),
+            backends: BTreeMap::new(),
         }
     }
 }
@@ -164,6 +167,7 @@
         for name in &plan.entries {
             cluster.add_entry(name, &links[name], &entry_links, plan.drain);
         }
+        let backend = |name: &str, url: String| plan.backends.get(name).cloned().unwrap_or(url);
         for (name, zone) in &plan.engines {
             let handle = engine::serve(plan.engine.clone()).expect("an engine starts");
             cluster.add_agent(
@@ -171,7 +175,7 @@
                 zone,
                 "chat",
                 "model",
-                &handle.to_url(),
+                &backend(name, handle.to_url()),
                 &links[name],
                 &entry_links,
             );
@@ -184,7 +188,7 @@
                 zone,
                 "booking",
                 "service",
-                &handle.handle.to_url(),
+                &backend(name, handle.handle.to_url()),
                 &links[name],
                 &entry_links,
             );
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod endless;
 pub mod port;
 pub mod process;
 pub mod ranks;
