The agent leaves the end of a body to its client; idle connections are swept

What callers saw: an answer to HEAD with a content-length came back as broken, since the agent compared the length with the bytes that it had received.

Cause: the check made up for awc, which took the end of a connection for the end of any body. hyper reports a body that ends early.

Change: the check is removed; the agent closes idle connections that the server has closed, at each health check, as the gateway does.

--- a/components/agent/src/backend.rs
+++ b/components/agent/src/backend.rs
@@ -5,7 +5,6 @@
 
 use admission::gate::Event;
 use bytes::{Bytes, BytesMut};
-use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
 use tables::{Name, PoolKind};
@@ -71,11 +70,9 @@
     let streamed = headers.iter().any(|(name, value)| {
         name.eq_ignore_ascii_case("content-type") && value.starts_with(EVENT_STREAM)
     });
-    let length = length(response.headers());
     event(Event::Head { status, headers });
     let mut body = response.into_body();
     let mut pending = BytesMut::new();
-    let mut size = 0;
     let mut done = kind != PoolKind::Model || !streamed;
     while let Some(frame) = body.frame().await {
         let data = match frame.map(http_body::Frame::into_data) {
@@ -86,7 +83,6 @@
             Err(error) if streamed && done && is_end(&error) => break,
             Err(_) => return Event::Failed { handed: true },
         };
-        size += data.len();
         if !streamed {
             event(Event::Data { events: 0, data });
             continue;
@@ -101,8 +97,7 @@
         }
     }
     // A stream that ends inside an event was truncated.
-    let complete = done && pending.is_empty() && length.is_none_or(|length| length == size);
-    if !complete {
+    if !done || !pending.is_empty() {
         return Event::Failed { handed: true };
     }
     client.keep(connection);
@@ -131,11 +126,6 @@
     source.is_some_and(|source| source.kind() == std::io::ErrorKind::UnexpectedEof)
 }
 
-/// The value of the `content-length` header.
-fn length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Removes all complete events from the pending bytes and counts them.
 fn take_complete_events(pending: &mut BytesMut) -> Option<(u32, Bytes)> {
     let mut count = 0;
--- a/components/agent/src/client.rs
+++ b/components/agent/src/client.rs
@@ -108,6 +108,11 @@
         self.pool.put(connection);
     }
 
+    /// Closes the connections that the server has closed or that were idle for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
     /// Sends a JSON body and reads a response with a small body.
     ///
     /// # Errors
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -164,6 +164,7 @@
     }
 
     fn check(&mut self, context: &mut Context<Core>) {
+        self.targets.backend.sweep();
         let core = context.address();
         let client = self.targets.backend.clone();
         let call = health::check(client, self.targets.kind);
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -70,7 +70,8 @@
         /// quota of all.
         limit: usize,
     },
-    /// The response head is malformed or exceeds its size limit.
+    /// The response head is malformed, has the status code of no final response, or exceeds
+    /// its size limit.
     #[error("the response head is malformed or too large")]
     Unreadable,
     /// The backend server sent nothing within the timeout.
