Connections to the engine are reused for 2 s again

An order on a connection that the engine closes at the same moment costs the rank its session.

Change: the idle time is one of the timeouts of a pool, 2 s for the agent; the gateway and the rank agent keep 3 s.

Evidence: found by reading, no failure was seen.

--- a/components/agent/src/client.rs
+++ b/components/agent/src/client.rs
@@ -19,8 +19,11 @@
 const DEFAULT_PORT: u16 = 80;
 
 /// Timeouts of connections. The backend server runs on the same host, where nothing is
-/// lost; it may be slow to read a request.
-const TIMEOUTS: Timeouts = Timeouts { connect: Duration::from_secs(1), user: None };
+/// lost; it may be slow to read a request. The idle time is shorter than that of common
+/// servers: an order sent on a closing connection may or may not have been accepted, and
+/// the rank then loses its session.
+const TIMEOUTS: Timeouts =
+    Timeouts { connect: Duration::from_secs(1), user: None, idle: Duration::from_secs(2) };
 
 /// The base URL of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, DeserializeFromStr, SerializeDisplay)]
--- a/components/connection/src/lib.rs
+++ b/components/connection/src/lib.rs
@@ -47,6 +47,9 @@
     /// TCP user timeout: time without acknowledgement after which the connection is
     /// dead. `None` leaves it to the system.
     pub user: Option<Duration>,
+    /// Idle time after which the connection isn't reused, if the backend server states no
+    /// limit.
+    pub idle: Duration,
 }
 
 impl Default for Timeouts {
@@ -55,7 +58,7 @@
     /// after two seconds without events.
     fn default() -> Timeouts {
         let user = Some(Duration::from_millis(1500));
-        Timeouts { connect: Duration::from_millis(300), user }
+        Timeouts { connect: Duration::from_millis(300), user, idle: Duration::from_secs(3) }
     }
 }
 
@@ -66,10 +69,6 @@
 /// probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
-/// Idle time after which a connection isn't reused, if the backend server states
-/// no limit.
-const IDLE_LIMIT: Duration = Duration::from_secs(3);
-
 /// Time between the FIN and the RST of a closed connection. It allows for one
 /// retransmission; the backend server must see a caller's disconnect within half a
 /// second.
@@ -231,7 +230,7 @@
         // Errors are reported to the request in flight.
         let _ = connection.await;
     });
-    Ok(Connection { address, sender, driver, socket, idle_limit: IDLE_LIMIT })
+    Ok(Connection { address, sender, driver, socket, idle_limit: timeouts.idle })
 }
 
 /// Result of [`probe`].
