--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -105,6 +105,7 @@
         self.ip, self.port, self.handle = ip, port, handle
         self.writers = set()
         self.server = None
+        self.on_malformed = lambda line: None
 
     @property
     def address(self):
@@ -123,6 +124,11 @@
                 request = await read_head(reader)
                 if request is None:
                     break
+                if not re.fullmatch(r"\S+ \S+ HTTP/1\.[01]", request.first):
+                    self.on_malformed(request.first)
+                    writer.write(encode("HTTP/1.1 400 Bad Request", [("Connection", "close")]))
+                    await writer.drain()
+                    break
                 await read_body(reader, request)
                 if not await self.handle(request, writer):
                     break
