--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -3,6 +3,7 @@
 addresses."""
 
 import asyncio
+import atexit
 import json
 import os
 import re
@@ -332,6 +333,11 @@
         self.writer.write(encode(f"{method} {target} HTTP/1.1", headers, body))
         await self.writer.drain()
 
+    async def receive_head(self, timeout=9.0):
+        """The head of the answer, or None."""
+        async with asyncio.timeout(timeout):
+            return await read_head(self.reader)
+
     async def receive(self, timeout):
         """The answer, or None if the connection ends without a whole one."""
         try:
@@ -598,17 +604,22 @@
 
     async def run():
         case = Case(folder)
+        atexit.register(case.close)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115):
                 broken = await play(case)
             case.record.line("rule broken" if broken else "rule held")
-            return BROKEN if broken else HELD
-        except (NotRun, asyncio.TimeoutError) as error:
+            status = BROKEN if broken else HELD
+        except (NotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
             case.record.line(f"not run: {error!r}")
-            return NOT_RUN
+            status = NOT_RUN
         finally:
             case.close()
+            atexit.unregister(case.close)
+        # What is left of the event loop must not delay the exit.
+        os._exit(status)
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
-    sys.exit(asyncio.run(run()))
+    asyncio.run(run())
