--- a/review/11/case.py
+++ b/review/11/case.py
@@ -19,6 +19,7 @@
            "step_ms": 4.55, "per_seq_ms": 0.905, "sets": SETS, "experts": EXPERTS,
            "places": PLACES, "spare": SPARE, "expert_mb": 2200.0}
 
+SHIFT_SHARE = 0.65  # the site's own `expert_shift`
 LATE_S = 2.0  # an order without an answer is carried out 2 to 12 s later
 RESTART_S = 1.75
 
@@ -33,6 +34,19 @@
     return found
 
 
+def shifted(seed, share):
+    """The first demand, with the choices of a share of the experts dealt anew."""
+    rng = random.Random(seed)
+    found = liked(1)
+    for choices in found:
+        chosen = rng.sample(range(EXPERTS), int(share * EXPERTS))
+        dealt = [choices[expert] for expert in chosen]
+        rng.shuffle(dealt)
+        for expert, count in zip(chosen, dealt):
+            choices[expert] = count
+    return found
+
+
 class Trouble:
     """Leaves the first hold, and the next map's prepare order to the same rank, without
     an answer, and kills the leader that ordered the hold."""
@@ -49,7 +63,7 @@
         if order["operation"] == "prepare" and not self.first_version:
             self.first_version = order["version"]
             # Other experts are in demand from now on.
-            self.group.demand = lambda step: liked(4)
+            self.group.demand = lambda step: shifted(4, SHIFT_SHARE)
         if not TROUBLE:
             return False
         if order["operation"] == "hold" and self.hold is None:
