Group: a map's version is recorded when it is assigned

Cause: `next_version` computed the version from what ranks had reported and recorded nothing. Between a plan and the first report of its copies, a fence against a delayed hold got the plan's version; the fenced rank then counted as ready for the plan. The same happened when a changed configuration replaced the leader by a new one with the same tag: orders of the discarded plan could prepare ranks for the new one.

Change: `next_version` records what it assigns, for plans and fences alike. A changed model no longer replaces the leader; `change_model` discards plan and demand and keeps versions and passes.

Evidence: the walk of leaders compared versions only.

Looked at: plans, fences, passes of holds (recorded before use), the broadcast version of the rank agent, rounds and blocks of the product's own leader, sequences of claims and tickets.

--- a/components/group/src/switch/leader/hold.rs
+++ b/components/group/src/switch/leader/hold.rs
@@ -156,7 +156,6 @@
             actions.push(Action::Fenced(rank, version));
             version
         });
-        self.highest_version = self.highest_version.max(version);
         self.fences.insert(rank, version);
         let map = Assignment::with_fixed_rank(
             rank as usize,
--- a/components/group/src/switch/leader/mod.rs
+++ b/components/group/src/switch/leader/mod.rs
@@ -228,6 +228,18 @@
         self.pass_sample = None;
     }
 
+    /// Replaces the model after a change of the configuration. The plan and the demand are
+    /// for the old one and are discarded; versions and passes that were assigned stay used,
+    /// since orders that carry them may still be executed.
+    pub fn change_model(&mut self, model: Model) {
+        self.model = model;
+        self.demand =
+            Demand::new(model.sets, model.experts, self.tuning.half_life, self.tuning.window);
+        self.evaluated = false;
+        self.plan = None;
+        self.overhead = None;
+    }
+
     /// Discards the plan and all reports because another agent leads.
     pub fn step_down(&mut self) {
         self.plan = None;
--- a/components/group/src/switch/leader/plan.rs
+++ b/components/group/src/switch/leader/plan.rs
@@ -45,9 +45,12 @@
         self.advance(now, actions);
     }
 
-    /// A version above all known ones that no other leader assigns.
-    pub(super) fn next_version(&self) -> u64 {
-        (((self.highest_version >> TAG_BITS) + 1) << TAG_BITS) | self.tag
+    /// Assigns a version above all known ones that no other leader assigns. It counts as
+    /// known at once: a plan and a fence must never share a version, even if no rank has
+    /// reported either of them.
+    pub(super) fn next_version(&mut self) -> u64 {
+        self.highest_version = (((self.highest_version >> TAG_BITS) + 1) << TAG_BITS) | self.tag;
+        self.highest_version
     }
 
     /// The map in use, if it is the same on all ranks and the experts of all ranks
--- a/components/group/tests/switch.rs
+++ b/components/group/tests/switch.rs
@@ -6,8 +6,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use group::switch::{Action, Armed, Order};
-use switch_world::{RANKS, TICK, World, leader, order_name};
+use group::switch::{Action, Armed, Leader, Order};
+use switch_world::{MODEL, RANKS, TICK, World, leader, order_name};
 
 const ALL_RANKS: Range<usize> = 0..RANKS as usize;
 
@@ -194,3 +194,54 @@
     world.execute(1, 1, &Order::Arm { version: 5, step: 40 });
     assert_eq!(world.ranks[1].armed, None, "a delayed order of the old leader must have no effect");
 }
+
+/// Reports skewed demand until the leader plans a change. Returns its version; its orders
+/// are lost.
+fn plan_without_orders(world: &mut World, leader: &mut Leader) -> u64 {
+    for _ in 0..20 {
+        world.now += TICK;
+        let actions = world.update_and_step(leader, ALL_RANKS, Some(&SKEWED));
+        if let Some(version) = actions.iter().find_map(planned_version) {
+            return version;
+        }
+    }
+    panic!("no map was planned");
+}
+
+fn planned_version(action: &Action) -> Option<u64> {
+    match action {
+        Action::Planned(plan) => Some(plan.version),
+        _ => None,
+    }
+}
+
+/// A fence that shares the planned map's version makes its rank look ready for that map.
+#[test]
+fn step_fences_under_new_version() {
+    let mut world = World::new(1);
+    for rank in &mut world.ranks {
+        (rank.prepared, rank.highest) = (5, 5);
+    }
+    let mut own = leader(0, 1);
+    let planned = plan_without_orders(&mut world, &mut own);
+    // A delayed hold of an earlier leader.
+    world.ranks[2].held = Some(90);
+    world.now += TICK;
+    let actions = world.update_and_step(&mut own, ALL_RANKS, None);
+    let fence = actions.iter().find_map(|action| match action {
+        Action::Fenced(2, version) => Some(*version),
+        _ => None,
+    });
+    assert!(fence.unwrap() > planned, "{fence:?} is not above {planned}");
+}
+
+/// Orders of a plan that was discarded with its model may still be executed.
+#[test]
+fn change_model_keeps_versions_used() {
+    let mut world = World::new(1);
+    let mut own = leader(0, 1);
+    let before = plan_without_orders(&mut world, &mut own);
+    own.change_model(MODEL);
+    let after = plan_without_orders(&mut world, &mut own);
+    assert!(after > before, "{after} is not above {before}");
+}
--- a/components/group/tests/switch_world/mod.rs
+++ b/components/group/tests/switch_world/mod.rs
@@ -3,10 +3,11 @@
 #![allow(dead_code, clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use group::placement::demand::Reading;
-use group::placement::even::Bounds;
+use group::placement::even::{Assignment, Bounds};
 use group::switch::{Action, Armed, Leader, Model, Order, Report, Status, Tuning};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,7 +15,7 @@
 pub const RANKS: u32 = 3;
 const SETS: usize = 1;
 const EXPERTS: usize = 6;
-const MODEL: Model = Model {
+pub const MODEL: Model = Model {
     sets: SETS,
     experts: EXPERTS,
     bounds: Bounds { places: 4, fresh: 2, copies: 0, gain: 0.0 },
@@ -26,7 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rank {
     epoch: u64,
-    maps: BTreeMap<u64, Vec<u16>>,
+    maps: BTreeMap<u64, Arc<Assignment>>,
     pub highest: u64,
     pub map: u64,
     pub prepared: u64,
@@ -102,7 +103,7 @@
                 if *version > rank.highest && rank.armed.is_none() {
                     rank.highest = *version;
                     rank.prepared = *version;
-                    rank.maps.insert(*version, map.sets[0][index].clone());
+                    rank.maps.insert(*version, map.clone());
                 }
             }
             Order::Hold { step: at } => {
@@ -149,6 +150,12 @@
             "seed {seed}: pass {next} under several maps: {:?}",
             self.ranks
         );
+        let content = self.ranks[0].maps.get(&map);
+        assert!(
+            self.ranks.iter().all(|rank| rank.maps.get(&map) == content),
+            "seed {seed}: pass {next} under several contents of map {map}: {:?}",
+            self.ranks
+        );
     }
 
     /// Executes the delayed orders that are due.
@@ -174,7 +181,8 @@
         let rank = &self.ranks[index];
         let initial: Vec<u16> =
             (index..EXPERTS).step_by(RANKS as usize).map(|e| e as u16).collect();
-        let held = if rank.map == 0 { initial } else { rank.maps[&rank.map].clone() };
+        let held =
+            if rank.map == 0 { initial } else { rank.maps[&rank.map].sets[0][index].clone() };
         let report = Report {
             group: "g".into(),
             epoch: rank.epoch,
--- a/components/rank/src/agent/mod.rs
+++ b/components/rank/src/agent/mod.rs
@@ -469,7 +469,9 @@
         self.election.set_agents(now, names);
         if self.model != model {
             self.model = model;
-            self.leader = None;
+            if let (Some(leader), Some(model)) = (&mut self.leader, model) {
+                leader.change_model(model);
+            }
         }
         if was_leader != self.election.is_leader() {
             log::info!(target: "leader", leads = self.election.is_leader(); "leadership changed");
