Group: no fencing number is issued twice after a restore of the lease

An agent that became candidate took the number after the one in the stored lease. After a restore from a copy, or if the lease was deleted, that number could be in use: two leaders, and their maps, had the same number. A lease of the highest number made the agent panic (debug) or start again at 0.

The next number is now above the member's fencing number, which includes what it was sealed under. `elect_under_unused_number` fails on the old code for a restored, a deleted and an exhausted number. Not covered: a member that restarts and a restore of the lease together; then no one knows the number.

--- a/components/group/src/agent.rs
+++ b/components/group/src/agent.rs
@@ -272,8 +272,11 @@
             self.member.reset_timeout(now);
             return Vec::new();
         }
+        // The object may be older than numbers already in use, for example after the
+        // platform was restored from a copy. The member knows the highest of them.
+        let Some(unused) = self.member.fence().number.checked_add(1) else { return Vec::new() };
         self.open_call = Call::Store;
-        self.attempted_number = number + 1;
+        self.attempted_number = unused;
         let lease =
             Lease { number: self.attempted_number, rank: self.rank, agent: self.incarnation };
         vec![Output::Store { expect: object.map(|object| object.version), lease }]
--- a/components/group/tests/unit.rs
+++ b/components/group/tests/unit.rs
@@ -77,6 +77,30 @@
     assert_eq!(agent.member.is_sealed(), expected);
 }
 
+/// A lease object that lost the latest numbers must not lead to a number that an earlier
+/// leader has used for its maps.
+#[rstest]
+#[case::restored(Some(2), Some(4))]
+#[case::deleted(None, Some(4))]
+#[case::current(Some(3), Some(4))]
+#[case::exhausted(Some(u32::MAX), None)]
+fn elect_under_unused_number(#[case] stored: Option<u32>, #[case] expected: Option<u32>) {
+    let mut agent = sealed_agent();
+    let later = Duration::from_secs(3600);
+    let lease = |number| Object { version: 9, lease: Lease { number, rank: 1, agent: 1 } };
+    let mut stores = Vec::new();
+    // A number above the known one is waited for before it is replaced.
+    for round in 1..4 {
+        agent.step(later * round, Input::Tick);
+        let outputs = agent.step(later * round, Input::Loaded(stored.map(lease)));
+        stores.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Store { lease, .. } => Some(lease.number),
+            _ => None,
+        }));
+    }
+    assert_eq!(stores.first().copied(), expected);
+}
+
 /// A lost order may contain steps that the engine never runs. The rank must then
 /// refuse grants of the old session and ask for a new seal.
 #[test]
