Platform clients: names are encoded in addresses, listings end or go on

Cause: the name to continue after was put into the address as it came. The same holds for `#`, `&` (the same page again), `+` and `%` (rows passed over), for the path of a single object and for `wisteria explain`.

One type, `platform::Pages`, decides how a listing goes on: names that were continued from before, and pages without a name that announce more, are errors in both clients. So far, an empty page made the product's client take a listing for complete and drop the other rows, and names in a cycle went on without end.

Looked at: listings, watches, registrations, leases, hosts and deletes of both clients, every kind of object, links of other entries, names of claims.

--- a/components/operator/src/session.rs
+++ b/components/operator/src/session.rs
@@ -142,7 +142,7 @@
             return Err(Error::NoOperations);
         }
         let query = |address: &Name| {
-            let url = format!("http://{address}/explain/{id}");
+            let url = format!("http://{address}/explain/{}", platform::encode(id));
             let address = address.clone();
             async move {
                 let reply = self.fetch(&url).await;
--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -1,7 +1,6 @@
 //! HTTP client for single calls to the platform.
 
 use std::cell::{Cell, RefCell};
-use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 use serde_json::Value;
 use tables::{Host, Name};
 
-use crate::{Changes, Error, Expect, Hosts, Listing, Object, Reply, VALUE_LIMIT};
+use crate::{Changes, Error, Expect, Hosts, Listing, Object, Pages, Reply, VALUE_LIMIT, encode};
 
 /// Default limit of a reply's body. A page or a watch's reply has a few megabytes at most.
 const BODY_LIMIT_BYTES: usize = 16 << 20;
@@ -85,24 +84,25 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Oversized`] if the pages exceed 32 MiB together; see also [`Client::fetch`].
+    /// [`Error::Oversized`] if the pages exceed 32 MiB together, [`Error::Malformed`] if a
+    /// page doesn't show how to continue; see also [`Client::fetch`].
     pub async fn list(&self, kind: &str) -> Result<Listing, Error> {
-        let reply = self.read(kind_path(kind), self.timeout).await?;
-        let mut listing: Listing = reply.read()?;
-        let mut size = reply.body.len();
-        while listing.more {
-            let Some(last) = listing.objects.last() else { break };
-            let path = format!("{}?after={}", kind_path(kind), encode(&last.name));
+        let mut pages = Pages::new(LISTING_LIMIT_BYTES);
+        let mut listing: Option<Listing> = None;
+        let mut path = kind_path(kind);
+        loop {
             let reply = self.read(path, self.timeout).await?;
-            size += reply.body.len();
-            if size > LISTING_LIMIT_BYTES {
-                return Err(Error::Oversized { limit: LISTING_LIMIT_BYTES });
-            }
             let page: Listing = reply.read()?;
-            listing.more = page.more && !page.objects.is_empty();
-            listing.objects.extend(page.objects);
+            let last = page.objects.last().map(|object| object.name.clone());
+            let next = pages.advance(reply.body.len(), page.more, last)?;
+            match &mut listing {
+                Some(listing) => listing.objects.extend(page.objects),
+                None => listing = Some(page),
+            }
+            let Some(last) = next else { break };
+            path = format!("{}?after={}", kind_path(kind), encode(&last));
         }
-        Ok(listing)
+        Ok(Listing { more: false, ..listing.unwrap_or_default() })
     }
 
     /// Writes an object if `expect` holds. Returns its new version.
@@ -300,17 +300,3 @@
 fn object_path(kind: &str, name: &str) -> String {
     format!("{}/{}", kind_path(kind), encode(name))
 }
-
-/// Percent-encodes a name for use in a path or a query.
-fn encode(name: &str) -> String {
-    let mut text = String::with_capacity(name.len());
-    for byte in name.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
-            text.push(char::from(byte));
-        } else {
-            // Writing to a string can't fail.
-            let _ = write!(text, "%{byte:02X}");
-        }
-    }
-    text
-}
--- a/components/platform/src/object.rs
+++ b/components/platform/src/object.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -39,6 +40,47 @@
     serde_json::from_str(raw.get()).unwrap_or_default()
 }
 
+/// Reads rows one by one, so that one that can't be read doesn't hide the others. Of such a
+/// row, the name is kept with a null value; a row without a readable name is left out.
+fn readable_rows<'de, D, T, N>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned + From<N>,
+    N: DeserializeOwned,
+{
+    let rows = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let read = |row: &str| {
+        let whole = serde_json::from_str(row).ok();
+        whole.or_else(|| serde_json::from_str::<N>(row).ok().map(T::from))
+    };
+    Ok(rows.iter().filter_map(|row| read(row.get())).collect())
+}
+
+/// What identifies an object of which nothing else can be read.
+#[derive(Deserialize)]
+struct ObjectName {
+    name: Name,
+}
+
+impl From<ObjectName> for Object {
+    fn from(ObjectName { name }: ObjectName) -> Object {
+        Object { name, version: 0, value: Value::Null }
+    }
+}
+
+/// As [`ObjectName`], for a change.
+#[derive(Deserialize)]
+struct ChangeName {
+    kind: Name,
+    name: Name,
+}
+
+impl From<ChangeName> for Change {
+    fn from(ChangeName { kind, name }: ChangeName) -> Change {
+        Change { kind, name, version: 0, value: Some(Value::Null) }
+    }
+}
+
 /// Precondition of a write: the expected state of the object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Expect {
@@ -96,7 +138,8 @@
 pub struct Listing {
     /// The revision at which the listing began; a watch continues from it.
     pub revision: u64,
-    /// The objects.
+    /// The objects. One that can't be read has version 0 and a null value.
+    #[serde(deserialize_with = "readable_rows::<_, _, ObjectName>")]
     pub objects: Vec<Object>,
     /// Whether there are more objects, on the next page.
     #[serde(default)]
@@ -122,7 +165,8 @@
 pub struct Changes {
     /// The revision up to which the changes are complete.
     pub revision: u64,
-    /// The changes, sorted by version.
+    /// The changes, sorted by version. One that can't be read has version 0 and a null value.
+    #[serde(deserialize_with = "readable_rows::<_, _, ChangeName>")]
     pub changes: Vec<Change>,
 }
 
--- a/components/platform/tests/client.rs
+++ b/components/platform/tests/client.rs
@@ -109,3 +109,41 @@
     let count = listed.as_ref().map_or(0, |listing| listing.objects.len());
     assert!(matches!(listed, Err(Error::Oversized { .. })), "{count} objects were kept");
 }
+
+/// A reply with a page that has at most one object.
+fn page(name: &str, more: bool) -> String {
+    let object = format!(r#"{{"name": "{name}", "version": 1, "value": 1}}"#);
+    let objects = if name.is_empty() { "" } else { &object };
+    let body = format!(r#"{{"objects": [{objects}], "revision": 1, "more": {more}}}"#);
+    format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Pages that show no way to continue. An empty one ended the listing as if it were complete,
+/// which removed the objects on the other pages; the same names again went on for ever.
+#[rstest]
+#[case::empty(&["", ""])]
+#[case::empty_second(&["a", ""])]
+#[case::same_name(&["a", "a"])]
+#[case::names_in_a_cycle(&["a", "b", "c", "a"])]
+fn list_pages_without_progress(#[case] names: &'static [&'static str]) {
+    let client = serve(|number, _, stream| {
+        let _ = stream.write_all(page(names[number % names.len()], true).as_bytes());
+    });
+    let listed = actix_rt::System::new().block_on(client.list("pool"));
+    assert_eq!(listed, Err(Error::Malformed { status: 200 }));
+}
+
+#[test]
+fn list_after_odd_name() {
+    let client = serve(|_, path, stream| {
+        let reply = match path {
+            "/v1/objects/pool" => page("a&b=+ é", true),
+            "/v1/objects/pool?after=a%26b%3D%2B%20%C3%A9" => page("c", false),
+            _ => page("", true),
+        };
+        let _ = stream.write_all(reply.as_bytes());
+    });
+    let listing = actix_rt::System::new().block_on(client.list("pool")).unwrap();
+    let names: Vec<&str> = listing.objects.iter().map(|object| object.name.as_str()).collect();
+    assert_eq!((names, listing.more), (vec!["a&b=+ é", "c"], false));
+}
--- a/components/platform/tests/reply.rs
+++ b/components/platform/tests/reply.rs
@@ -63,3 +63,23 @@
     // Not taken for a deletion.
     assert_eq!(values, [Some(json!(1)), Some(Value::Null), None]);
 }
+
+/// A row whose version can't be read doesn't hide the others, and still exists.
+#[rstest]
+#[case::version(r#"{"name": "b", "kind": "zone", "version": -3, "value": 1}"#, true)]
+#[case::no_value(r#"{"name": "b", "kind": "zone", "version": 3}"#, false)]
+fn read_beside_odd_row(#[case] odd: &str, #[case] odd_change: bool) {
+    let row = r#"{"name": "a", "kind": "zone", "version": 3, "value": 1}"#;
+    let rows = [row, odd, "7", row].join(",");
+    let listed = reply(200, &format!(r#"{{"revision": 7, "objects": [{rows}]}}"#));
+    let objects = listed.read::<Listing>().unwrap().objects;
+    let found: Vec<(&str, u64)> =
+        objects.iter().map(|object| (object.name.as_str(), object.version)).collect();
+    assert_eq!(found, [("a", 3), ("b", 0), ("a", 3)]);
+    assert_eq!(objects[1].value, Value::Null);
+    let watched = reply(200, &format!(r#"{{"revision": 7, "changes": [{rows}]}}"#));
+    let changes = watched.read::<Changes>().unwrap().changes;
+    // Without a value it is a deletion.
+    assert_eq!(changes.len(), 3);
+    assert_eq!(changes[1].value, odd_change.then_some(Value::Null));
+}
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -7,7 +7,7 @@
 
 use adapter::store::{self, Page};
 use balance::content::Kind;
-use platform::{Client, Error, Method, Reply};
+use platform::{Client, Error, Method, Pages, Reply};
 use serde_json::Value;
 use tables::{Name, Position};
 use tokio::sync::watch;
@@ -22,7 +22,8 @@
 /// response to a watch may contain the changes of several seconds.
 const BODY_LIMIT: usize = 8 << 20;
 
-/// Largest size of all pages of a listing, in bytes.
+/// Largest size of all rows of a listing, in bytes. Objects of other writers that can't be
+/// decoded count with their names only, so that they don't end a listing.
 const LISTING_LIMIT: usize = 32 << 20;
 
 /// Objects of a kind, with their position in the store's history.
@@ -104,23 +105,13 @@
         path: fn(Kind, Option<&str>) -> String,
     ) -> Result<Listed, Error> {
         let mut listing: Option<Listed> = None;
+        let mut pages = Pages::new(LISTING_LIMIT);
         let mut last: Option<Name> = None;
-        let mut size = 0;
         loop {
             let path = path(kind, last.as_deref());
             let (era, reply) = self.fetch(path, CALL_TIMEOUT).await?;
-            let body = reply.accept()?;
-            size += body.len();
-            if size > LISTING_LIMIT {
-                return Err(Error::Oversized { limit: LISTING_LIMIT });
-            }
-            let page = log_malformed(store::decode_listing(kind, body))?;
-            // Without progress the listing would never end.
-            if page.more && (page.last.is_none() || page.last == last) {
-                return Err(Error::Malformed { status: 200 });
-            }
-            let more = page.more;
-            last = page.last.clone();
+            let page = log_malformed(store::decode_listing(kind, reply.accept()?))?;
+            last = pages.advance(page.size, page.more, page.last.clone())?;
             match &mut listing {
                 // Pages from different eras don't form a consistent listing.
                 Some(listing) if listing.position.era != era => return Err(Error::Gone),
@@ -132,7 +123,7 @@
                 }
                 None => listing = Some(Listed { position: page.position(era), page }),
             }
-            if !more {
+            if last.is_none() {
                 return Ok(listing.unwrap_or_default());
             }
         }
