Gateway: a request that can't name its server or account isn't sent

If the name of the server or of the client account is no header value (control characters), the header was left out: a backend server could run the request for no account, or in place of the server that it was meant for. It is refused now, without a failure counted against the server.

--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -2,6 +2,8 @@
 
 use balance::Outcome;
 
+use crate::request::Unsendable;
+
 /// Why an attempt returned no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -24,6 +26,9 @@
     /// A different backend server listens on the address.
     #[error("a different backend server listens on the address")]
     Misdirected,
+    /// A name that the request has to carry can't be sent; nothing was sent.
+    #[error("{0}")]
+    Unsendable(#[from] Unsendable),
     /// The connection closed before the response was complete.
     #[error("the connection broke off")]
     Broken,
@@ -95,7 +100,8 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Error::ConnectFailed => Outcome::ConnectFailed,
-            Error::Refused { .. } => Outcome::Refused,
+            // Nothing was sent, and the server isn't at fault.
+            Error::Refused { .. } | Error::Unsendable(_) => Outcome::Refused,
             Error::Unattributed { .. } => Outcome::Unattributed,
             Error::Misdirected => Outcome::Misdirected,
             Error::DeadlineExceeded => Outcome::DeadlineExceeded,
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -318,7 +318,7 @@
         let remaining = self.remaining_time()?;
         let last_id = self.events.last_id();
         let last_event = (last_id > 0).then_some(last_id);
-        let request = self.request.to_backend(&self.ticket, &self.target, remaining, last_event);
+        let request = self.request.to_backend(&self.ticket, &self.target, remaining, last_event)?;
         let mut timeout = Timeout::new(self.shared(), &self.ticket, &self.target.server)?;
         let response = timeout.wait_for(connection.send(request)).await??;
         self.check_head(&response, usage)?;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -59,6 +59,12 @@
 #[error("the request head cannot be forwarded")]
 pub struct Malformed;
 
+/// A name from the configuration or the store is no header value. Without the header, a
+/// backend server could run the request for another account, or in place of another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a name has control characters and can't be sent as a header")]
+pub struct Unsendable;
+
 impl Request {
     /// Reads the request head. The body is left empty.
     ///
@@ -100,39 +106,42 @@
 
     /// Builds the request to a backend server, with `remaining` as its deadline
     /// header.
+    ///
+    /// # Errors
+    ///
+    /// [`Unsendable`] if the name of the server or the client account has control characters.
     pub fn to_backend(
         &self,
         ticket: &Ticket,
         target: &Target,
         remaining: Duration,
         last_event: Option<u64>,
-    ) -> hyper::Request<Full<Bytes>> {
+    ) -> Result<hyper::Request<Full<Bytes>>, Unsendable> {
         let mut request = hyper::Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = http::Uri::from(self.target.clone());
         let headers = request.headers_mut();
         *headers = self.headers.clone();
-        set(headers, header::DEADLINE, &remaining.as_millis().to_string());
-        set(headers, header::EXPECTED_SERVER, &target.server);
+        set(headers, header::DEADLINE, &remaining.as_millis().to_string())?;
+        set(headers, header::EXPECTED_SERVER, &target.server)?;
         if let Some(account) = &ticket.account {
-            set(headers, header::ACCOUNT, account);
+            set(headers, header::ACCOUNT, account)?;
         }
         if ticket.urgency.is_some() {
             let priority = ticket.level.min(header::PRIORITY_MAX);
-            set(headers, header::PRIORITY, &priority.to_string());
+            set(headers, header::PRIORITY, &priority.to_string())?;
         }
         if let Some(last_event) = last_event {
-            set(headers, header::LAST_EVENT, &last_event.to_string());
+            set(headers, header::LAST_EVENT, &last_event.to_string())?;
         }
-        request
+        Ok(request)
     }
 }
 
-/// Sets a header, unless `value` is not a valid header value.
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) -> Result<(), Unsendable> {
+    let value = HeaderValue::from_str(value).map_err(|_| Unsendable)?;
+    headers.insert(HeaderName::from_static(name), value);
+    Ok(())
 }
 
 fn forwarded_headers(all: &HeaderMap) -> Result<HeaderMap, Malformed> {
