Gateway: a request's fingerprint tells its parts apart

Key, target and body were hashed one after the other without their lengths, so that two requests could share a fingerprint: `/a` with body `b`, and `/ab` without one. A sound request could be refused for the crashes of another.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod quota;
 mod relay;
 mod reload;
-mod request;
+pub mod request;
 mod run;
 mod settings;
 mod shared;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -98,9 +98,12 @@
     /// Hash of key, target and body, to recognize repetitions of a request.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        hasher.update(self.key.as_deref().unwrap_or_default().as_bytes());
-        hasher.update(self.target.as_str().as_bytes());
-        hasher.update(&self.body.bytes);
+        let key = self.key.as_deref().unwrap_or_default();
+        for part in [key.as_bytes(), self.target.as_str().as_bytes(), &self.body.bytes] {
+            // The length keeps the end of one part from passing as the start of the next.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
         hasher.digest()
     }
 
