--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -1,4 +1,4 @@
-//! Splits an event stream into complete events and holds back those whose ids are in doubt.
+//! Splits an event stream into complete events and holds back those whose ids are not confirmed.
 
 use balance::Numbering;
 use bytes::{Bytes, BytesMut};
@@ -10,7 +10,7 @@
 /// delimiter the previous chunks can contain.
 const DELIMITER_OVERLAP: usize = 3;
 
-/// Joins chunks of an event stream and returns complete events whose ids are believed. Each
+/// Joins chunks of an event stream and returns complete events whose ids are confirmed. Each
 /// byte is scanned once, regardless of the chunk boundaries.
 ///
 /// ```
@@ -66,7 +66,7 @@
             };
             let event = &events[..size];
             match judge(&mut self.sequence, event) {
-                Ok(Verdict::Pass) => is_holding = false,
+                Ok(Verdict::Release) => is_holding = false,
                 Ok(Verdict::Hold) => {
                     released = self.judged;
                     is_holding = true;
