gateway: large bodies give way to what the process uses besides

Cause: bodies grew to a quarter of memory_mb, whatever code, connections and listings used; the charge of a body ended before the last copy of its bytes; and bodies were charged as they arrived, so that several that shared the budget waited for each other until all were refused. A log shows 7.7 of 8 MB charged, no eviction, and refusals one second after the first wait.

Change: bodies grow only while the measured memory of the process leaves a quarter free. A body of known length is charged before it is read; if all that hold memory wait, the last one to wait is evicted; of those that hold none, the latest goes first. The charge belongs to the bytes. procfs reads the memory and the limit on descriptors, which was parsed by hand.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -112,8 +112,9 @@
         shared.meter.evicted_bodies.add(1);
     }
     if !is_exhausted || shared.lines.take(shared.now()) {
+        let (charged, resident) = shared.intake.usage();
         log::info!(target: "request", id:% = id, status = status, limit = limit, error:%,
-            charged = shared.intake.used(), config = version; "body not taken");
+            charged = charged, resident = resident, config = version; "body not taken");
     }
     let mut response = empty_response(status);
     if is_exhausted {
--- a/components/gateway/src/intake.rs
+++ b/components/gateway/src/intake.rs
@@ -10,11 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::budget::{Budget, FREE_BYTES, Growth, Id};
-use crate::memory::KEPT_ALLOCATION;
-
-/// Share of the process's memory that request bodies may use. Buffered responses use a
-/// quarter; connections, heads and the allocator need the rest.
-const MEMORY_SHARE: f64 = 0.25;
+use crate::memory::{self, KEPT_ALLOCATION};
 
 /// Largest part of a body that is read and discarded, so that its caller gets the
 /// response instead of a reset connection, in bytes.
@@ -70,28 +66,35 @@
 impl Intake {
     /// The memory for bodies of a process that may use `memory` bytes.
     pub fn new(memory: u64) -> Intake {
-        let budget = Budget::new((memory as f64 * MEMORY_SHARE) as usize);
+        let budget = Budget::new(usize::try_from(memory).unwrap_or(usize::MAX));
         let state = Mutex::new(State { budget, evictions: BTreeMap::new() });
         Intake(Arc::new(Shared { started: Instant::now(), state, freed: Notify::new() }))
     }
 
-    /// Bytes that are charged for bodies.
-    pub fn used(&self) -> usize {
-        self.0.state().budget.used()
+    /// Bytes that are charged for bodies, and memory of the process when it was last measured.
+    pub fn usage(&self) -> (usize, usize) {
+        let state = self.0.state();
+        (state.budget.used(), state.budget.resident())
     }
 
-    /// Reads a body. One that exceeds `limit` is read to its end, but not kept.
+    /// Reads a body. One that exceeds `limit` is read to its end, but not kept. A body is
+    /// charged until the last copy of its bytes is dropped.
     ///
     /// # Errors
     ///
     /// The reason for which it is not taken.
-    pub async fn read(&self, mut body: Incoming, limit: usize) -> Result<Body, Error> {
+    pub async fn read(&self, mut body: Incoming, limit: usize) -> Result<Bytes, Error> {
         let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
         if stated > DISCARD_LIMIT.max(limit) {
             return Err(Error::Large);
         }
         let (mut kept, mut size) = (BytesMut::new(), 0_usize);
         let mut charge: Option<Charge> = None;
+        if (FREE_BYTES + 1..=limit).contains(&stated) {
+            // What is not read yet stays in the socket. Pages are used as they are written.
+            charge.insert(self.open()).grow(stated).await?;
+            kept.reserve(stated.clamp(KEPT_ALLOCATION, DISCARD_LIMIT));
+        }
         loop {
             let frame = match &charge {
                 None => body.frame().await,
@@ -112,12 +115,14 @@
                 continue;
             }
             if size > FREE_BYTES {
-                if charge.is_none() {
-                    // Pages are used as they are written. Buffers that grow step by step
-                    // would leave gaps in the heap.
-                    kept.reserve(stated.max(KEPT_ALLOCATION) - kept.len());
-                }
                 charge.get_or_insert_with(|| self.open()).grow(size).await?;
+                if kept.capacity() < KEPT_ALLOCATION {
+                    // Buffers that grow in smaller steps would leave gaps in the heap.
+                    kept.reserve(KEPT_ALLOCATION - kept.len());
+                }
+            }
+            if let Some(charge) = &charge {
+                charge.receive(size);
             }
             kept.extend_from_slice(data);
         }
@@ -126,7 +131,8 @@
         }
         match charge {
             Some(charge) if !charge.complete() => Err(Error::Exhausted),
-            charge => Ok(Body { bytes: kept.freeze(), _charge: charge.map(Arc::new) }),
+            Some(charge) => Ok(Bytes::from_owner(Charged { bytes: kept, _charge: charge })),
+            None => Ok(kept.freeze()),
         }
     }
 
@@ -147,11 +153,16 @@
     }
 }
 
-/// A complete body, charged until its last copy is dropped.
-#[derive(Clone, Debug, Default)]
-pub struct Body {
-    pub bytes: Bytes,
-    _charge: Option<Arc<Charge>>,
+/// A complete body and its charge.
+struct Charged {
+    bytes: BytesMut,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Charged {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// The charge of one body, released on drop.
@@ -170,6 +181,11 @@
             {
                 let now = self.shared.started.elapsed();
                 let mut state = self.shared.state();
+                if state.budget.is_measurement_due(now)
+                    && let Some(resident) = memory::resident()
+                {
+                    state.budget.measure(now, resident);
+                }
                 match state.budget.grow(now, self.id, size) {
                     Growth::Granted => return Ok(()),
                     Growth::Refused => return Err(Error::Exhausted),
@@ -188,6 +204,12 @@
         }
     }
 
+    /// Records that `size` bytes have arrived.
+    fn receive(&self, size: usize) {
+        let now = self.shared.started.elapsed();
+        self.shared.state().budget.receive(now, self.id, size);
+    }
+
     fn complete(&self) -> bool {
         self.shared.state().budget.complete(self.id)
     }
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -1,6 +1,7 @@
 //! Memory of the process: the allocator, and the bounds derived from the settings.
 
 use listener::Bounds;
+use procfs::process::{LimitValue, Process};
 
 /// Memory for each connection that is accepted, in bytes. A debug build uses 15 KiB for one
 /// that is open, 21 KiB after a request and 30 KiB with an incomplete small body.
@@ -29,9 +30,17 @@
 
 /// Largest number of descriptors that the process may open, if the system tells.
 fn descriptor_limit() -> Option<usize> {
-    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
-    line.split_whitespace().next()?.parse().ok()
+    let limits = Process::myself().ok()?.limits().ok()?;
+    match limits.max_open_files.soft_limit {
+        LimitValue::Value(limit) => usize::try_from(limit).ok(),
+        LimitValue::Unlimited => None,
+    }
+}
+
+/// Memory that the process uses, in bytes, if the system tells.
+pub fn resident() -> Option<usize> {
+    let pages = Process::myself().ok()?.statm().ok()?.resident;
+    usize::try_from(pages.saturating_mul(procfs::page_size())).ok()
 }
 
 /// Largest allocation that the allocator may keep after it is freed, in bytes. Larger ones,
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -197,7 +197,7 @@
             self.shared().trial_started.notify_one();
         }
         self.shared().meter.crossings.record_request(&self.ticket.pool, &self.target.zone);
-        self.count_bytes(self.request.body.bytes.len());
+        self.count_bytes(self.request.body.len());
         let config = self.shared().balancer().config().map_or(0, |config| config.version);
         log::info!(target: "request", id:% = self.request.id, route:% = self.ticket.route,
             server:% = self.target.server, zone:% = self.target.zone, open = self.target.open,
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -11,8 +11,6 @@
 use tables::Name;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::intake;
-
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -51,7 +49,7 @@
     /// Headers to forward.
     headers: HeaderMap,
     /// Request body.
-    pub body: intake::Body,
+    pub body: Bytes,
 }
 
 /// The request head cannot be forwarded.
@@ -86,7 +84,7 @@
             last_event: fields.last_event,
             prompt_parts: fields.prompt_parts,
             headers: forwarded_headers(&head.headers)?,
-            body: intake::Body::default(),
+            body: Bytes::new(),
         })
     }
 
@@ -99,7 +97,7 @@
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
         let key = self.key.as_deref().unwrap_or_default();
-        for part in [key.as_bytes(), self.target.as_str().as_bytes(), &self.body.bytes] {
+        for part in [key.as_bytes(), self.target.as_str().as_bytes(), &self.body] {
             // The length keeps the end of one part from passing as the start of the next.
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
@@ -120,7 +118,7 @@
         remaining: Duration,
         last_event: Option<u64>,
     ) -> Result<hyper::Request<Full<Bytes>>, Unsendable> {
-        let mut request = hyper::Request::new(Full::new(self.body.bytes.clone()));
+        let mut request = hyper::Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = http::Uri::from(self.target.clone());
         let headers = request.headers_mut();
--- a/components/gateway/tests/request.rs
+++ b/components/gateway/tests/request.rs
@@ -12,7 +12,7 @@
         .unwrap()
         .into_parts();
     let mut request = Request::read(&head).unwrap();
-    request.body.bytes = body.into();
+    request.body = body.into();
     request
 }
 
